--- /dev/null
+++ b/bergamotgate/__init__.py
@@ -0,0 +1,1 @@
+"""A query tier over many shards."""
--- /dev/null
+++ b/bergamotgate/admission/__init__.py
@@ -0,0 +1,18 @@
+"""The owner's side: queues, slots, connections and cold start of each backend server."""
+
+from bergamotgate.admission.job import Job, JobResult
+from bergamotgate.admission.owner import Owner
+from bergamotgate.admission.pressure import Pressure
+from bergamotgate.admission.queue import JobQueue
+from bergamotgate.admission.server import OwnedServer
+from bergamotgate.admission.warmth import Warmth
+
+__all__ = [
+    "Job",
+    "JobQueue",
+    "JobResult",
+    "OwnedServer",
+    "Owner",
+    "Pressure",
+    "Warmth",
+]
--- /dev/null
+++ b/bergamotgate/admission/queue.py
@@ -0,0 +1,70 @@
+"""Jobs in the order in which they go to a backend server.
+
+A job's place is its arrival plus the patience of its class: an urgent job passes patient ones that
+came a little earlier, and a patient job that has waited out its patience passes urgent ones.
+"""
+
+import heapq
+import itertools
+
+from bergamotgate.admission.job import Job, JobStage
+from bergamotgate.wire.generated.ttypes import Reason
+
+__all__ = ["JobQueue", "MAX_QUEUED_JOBS"]
+
+MAX_QUEUED_JOBS = 256
+
+
+class JobQueue:
+    """Waiting jobs of one backend server."""
+
+    def __init__(self, limit: int = MAX_QUEUED_JOBS):
+        self._limit = limit
+        self._heap: list[tuple[float, int, Job]] = []
+        self._count = itertools.count()
+        self._waiting = 0
+
+    def __len__(self) -> int:
+        return self._waiting
+
+    def push(self, job: Job) -> None:
+        """Take in a job; when the queue is full, the last one in order is declined."""
+        heapq.heappush(self._heap, (job.order, next(self._count), job))
+        self._waiting += 1
+        if self._waiting > self._limit:
+            last = max(entry for entry in self._heap if entry[2].stage is JobStage.QUEUED)
+            self._drop(last[2], Reason.QUEUE_FULL)
+
+    def pop(self, now: float) -> Job | None:
+        """The next job whose deadline has not passed; those that expired are declined."""
+        while self._heap:
+            job = heapq.heappop(self._heap)[2]
+            if job.stage is not JobStage.QUEUED:
+                continue
+            if job.deadline <= now:
+                self._drop(job, Reason.EXPIRED_IN_QUEUE)
+                continue
+            self._waiting -= 1
+            return job
+        return None
+
+    def cancel(self, job: Job) -> None:
+        """Decline a waiting job that nobody wants any more."""
+        self._drop(job, Reason.CANCELLED_IN_QUEUE)
+
+    def decline_all(self, reason: Reason) -> None:
+        """Decline every waiting job."""
+        for _, _, job in self._heap:
+            if job.stage is JobStage.QUEUED:
+                self._drop(job, reason)
+        self._heap.clear()
+
+    def expire(self, now: float) -> None:
+        """Decline jobs whose deadline has passed."""
+        for _, _, job in list(self._heap):
+            if job.stage is JobStage.QUEUED and job.deadline <= now:
+                self._drop(job, Reason.EXPIRED_IN_QUEUE)
+
+    def _drop(self, job: Job, reason: Reason) -> None:
+        self._waiting -= 1
+        job.decline(reason)
--- /dev/null
+++ b/bergamotgate/admission/warmth.py
@@ -0,0 +1,62 @@
+"""Whether a backend server is cold, from what it does more than from what it says.
+
+A server counts as cold until enough answers in a row came back at a usual speed. A new incarnation,
+its own word, a refused or broken connection, or a run of slow answers make it cold again. Its word
+that it is warm counts for nothing, as reports lag.
+"""
+
+__all__ = ["Warmth"]
+
+SLOW_FACTOR = 5.0
+SLOW_FLOOR_S = 0.02
+SLOW_RUN = 3
+SMOOTHING = 0.1
+
+
+class Warmth:
+    """Cold-start state of one backend server as its owner knows it.
+
+    Attributes:
+        incarnation: Mark that the server changes at each restart; empty while unknown.
+    """
+
+    def __init__(self, warm_after: int):
+        self._warm_after = warm_after
+        self._answers_in_row = 0
+        self._slow_in_row = 0
+        self._usual_s: float | None = None
+        self.incarnation = ""
+
+    @property
+    def is_warm(self) -> bool:
+        """Whether the server bears its full slots."""
+        return self._answers_in_row >= self._warm_after
+
+    def chill(self) -> None:
+        """Take the server as cold."""
+        self._answers_in_row = 0
+        self._slow_in_row = 0
+
+    def trust(self, incarnation: str) -> None:
+        """Take the server as warm at an incarnation, by the word of its previous owner."""
+        self.incarnation = incarnation
+        self._answers_in_row = self._warm_after
+
+    def note_answer(self, incarnation: str, says_cold: bool, service_s: float) -> None:
+        """Learn from one answer."""
+        restarted = incarnation != self.incarnation and self.incarnation != ""
+        self.incarnation = incarnation
+        if restarted or says_cold or self._is_slow_run(service_s):
+            self.chill()
+            return
+        self._answers_in_row += 1
+
+    def _is_slow_run(self, service_s: float) -> bool:
+        usual_s = self._usual_s
+        if usual_s is None:
+            self._usual_s = service_s
+            return False
+        slow = service_s > max(SLOW_FLOOR_S, SLOW_FACTOR * usual_s)
+        self._slow_in_row = self._slow_in_row + 1 if slow else 0
+        self._usual_s = usual_s + SMOOTHING * (service_s - usual_s)
+        return self._slow_in_row >= SLOW_RUN
--- /dev/null
+++ b/bergamotgate/config/__init__.py
@@ -0,0 +1,36 @@
+"""The routes and pools tables: their format, their revisions and how they spread."""
+
+from bergamotgate.config.delta import apply_changes, canonical, changes_between, digest_of
+from bergamotgate.config.reader import read_tables
+from bergamotgate.config.spread import TableStore
+from bergamotgate.config.tables import (
+    BelowCoverage,
+    Canary,
+    Coverage,
+    Pool,
+    Route,
+    Server,
+    Snapshot,
+    Standing,
+    Tables,
+    UrgencyClass,
+)
+
+__all__ = [
+    "BelowCoverage",
+    "Canary",
+    "Coverage",
+    "Pool",
+    "Route",
+    "Server",
+    "Snapshot",
+    "Standing",
+    "TableStore",
+    "Tables",
+    "UrgencyClass",
+    "apply_changes",
+    "canonical",
+    "changes_between",
+    "digest_of",
+    "read_tables",
+]
--- /dev/null
+++ b/bergamotgate/config/spread.py
@@ -0,0 +1,140 @@
+"""The tables in force on this process: how they come, what is accepted, and who is told."""
+
+import json
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import jsonc
+from loguru import logger
+
+from bergamotgate.config.delta import Change, apply_changes, canonical, changes_between, digest_of
+from bergamotgate.config.reader import read_tables
+from bergamotgate.config.tables import Tables
+from bergamotgate.errors import TablesRejected
+from bergamotgate.metrics import Metrics
+from bergamotgate.wire.generated.ttypes import EntryChange, TablesAsk, TablesReply
+
+__all__ = ["TableStore"]
+
+REMEMBERED_REVISIONS = 4
+
+
+@dataclass(frozen=True)
+class _Accepted:
+    """A revision that was accepted."""
+
+    tables: Tables
+    canonical: str
+
+
+class TableStore:
+    """Holds the accepted revision with the highest number; never goes back.
+
+    Attributes:
+        rejected: The newest rejection, or None.
+    """
+
+    def __init__(self, metrics: Metrics):
+        self._metrics = metrics
+        self._listeners: list[Callable[[Tables], None]] = []
+        self._accepted_by_revision: OrderedDict[int, _Accepted] = OrderedDict()
+        self._rejected_revision = -1
+        self.rejected: TablesRejected | None = None
+
+    @property
+    def tables(self) -> Tables | None:
+        """The tables in force."""
+        accepted = self._newest()
+        return accepted.tables if accepted is not None else None
+
+    @property
+    def revision(self) -> int:
+        """Revision in force; -1 while there is none."""
+        return self.tables.revision if self.tables is not None else -1
+
+    @property
+    def seen_revision(self) -> int:
+        """Highest revision that was accepted or rejected; -1 while there is none."""
+        return max(self.revision, self._rejected_revision)
+
+    def on_change(self, listener: Callable[[Tables], None]) -> None:
+        """Call back with each pair of tables that comes into force."""
+        self._listeners.append(listener)
+
+    def offer(self, revision: int, routes: str, pools: str) -> bool:
+        """Take a published revision; return whether it came into force.
+
+        A revision that is not higher changes nothing. One that holds mistakes is rejected; the last
+        accepted one stays in force.
+        """
+        if revision <= self.seen_revision:
+            return False
+        try:
+            tables = read_tables(revision, routes, pools)
+        except TablesRejected as error:
+            self._reject(revision, error)
+            return False
+        text = self._canonical(routes, pools)
+        self._accepted_by_revision[revision] = _Accepted(tables, text)
+        while len(self._accepted_by_revision) > REMEMBERED_REVISIONS:
+            self._accepted_by_revision.popitem(last=False)
+        logger.info("config: Revision {} is in force.", revision)
+        self._metrics.revision.set(revision)
+        for listener in self._listeners:
+            listener(tables)
+        return True
+
+    def ask(self, call: int) -> TablesAsk:
+        """The question to a peer that has a newer revision."""
+        digest = self.tables.digest if self.tables is not None else ""
+        return TablesAsk(call, self.revision, digest)
+
+    def reply(self, ask: TablesAsk) -> TablesReply | None:
+        """The answer to a peer: changes if the base is known here, else the whole text."""
+        newest = self._newest()
+        if newest is None:
+            return None
+        reply = TablesReply(ask.call, newest.tables.revision, newest.tables.digest)
+        base = self._accepted_by_revision.get(ask.have_revision)
+        if base is not None and base.tables.digest == ask.have_digest:
+            changes = changes_between(base.canonical, newest.canonical)
+            reply.changes = [EntryChange(change.path, change.value) for change in changes]
+        else:
+            reply.whole = newest.canonical.encode()
+        return reply
+
+    def take(self, reply: TablesReply) -> bool:
+        """Take a peer's answer; return whether a newer revision came into force."""
+        text = self._text_of(reply)
+        if text is None or digest_of(text) != reply.digest:
+            self._metrics.bad_messages.labels("tables").inc()
+            return False
+        pair = json.loads(text)
+        return self.offer(reply.revision, json.dumps(pair["routes"]), json.dumps(pair["pools"]))
+
+    def _text_of(self, reply: TablesReply) -> str | None:
+        if reply.whole is not None:
+            return reply.whole.decode(errors="replace")
+        newest = self._newest()
+        if newest is None:
+            return None
+        changes = (Change(change.path, change.value) for change in reply.changes or ())
+        try:
+            return apply_changes(newest.canonical, tuple(changes))
+        except (ValueError, AttributeError):
+            return None
+
+    def _newest(self) -> _Accepted | None:
+        if not self._accepted_by_revision:
+            return None
+        return self._accepted_by_revision[next(reversed(self._accepted_by_revision))]
+
+    def _canonical(self, routes: str, pools: str) -> str:
+        return canonical(jsonc.loads(routes), jsonc.loads(pools))
+
+    def _reject(self, revision: int, error: TablesRejected) -> None:
+        self._rejected_revision = revision
+        self.rejected = error
+        self._metrics.tables_rejected.labels("tables").inc()
+        logger.error("config: Revision {} is rejected: {}", revision, error)
--- /dev/null
+++ b/bergamotgate/errors.py
@@ -0,0 +1,150 @@
+"""Every exception of the project, each with the offending value as an attribute."""
+
+from dataclasses import dataclass
+
+__all__ = [
+    "AddressInUse",
+    "BergamotgateError",
+    "ConfigurationError",
+    "ConnectionDied",
+    "ConnectionRefused",
+    "ExchangeTimedOut",
+    "FrameError",
+    "LinkLost",
+    "PlatformUnavailable",
+    "Problem",
+    "SettingsError",
+    "TablesRejected",
+    "VmListRejected",
+    "WrongReply",
+]
+
+
+@dataclass(frozen=True)
+class Problem:
+    """One mistake in a file that people write.
+
+    Attributes:
+        place: Path inside the file (``pools.catalogue.slots``) or ``line 3 column 7``.
+        expected: What would have been right.
+        found: What stands there, shortened.
+    """
+
+    place: str
+    expected: str
+    found: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: expected {self.expected}, found {self.found}"
+
+
+class BergamotgateError(Exception):
+    """Base of all errors that the project raises."""
+
+
+class ConfigurationError(BergamotgateError):
+    """A file that people write holds mistakes.
+
+    Attributes:
+        source: File name, or the name of the table.
+        problems: Every mistake found.
+    """
+
+    def __init__(self, source: str, problems: tuple[Problem, ...]):
+        lines = "; ".join(str(problem) for problem in problems)
+        super().__init__(f"{source}: {lines}")
+        self.source = source
+        self.problems = problems
+
+
+class SettingsError(ConfigurationError):
+    """The settings of a daemon hold mistakes."""
+
+
+class TablesRejected(ConfigurationError):
+    """A published pair of tables holds mistakes; the last accepted pair stays in force."""
+
+
+class VmListRejected(ConfigurationError):
+    """A published VM list holds mistakes; the last accepted list stays in force."""
+
+
+class PlatformUnavailable(BergamotgateError):
+    """A service of the platform gave no usable answer.
+
+    Attributes:
+        service: Name of the service.
+        cause: What went wrong.
+    """
+
+    def __init__(self, service: str, cause: object):
+        super().__init__(f"{service} is unavailable: {cause}")
+        self.service = service
+        self.cause = cause
+
+
+class FrameError(BergamotgateError):
+    """A message of a peer cannot be read.
+
+    Attributes:
+        size: Length of the message in bytes.
+        cause: What is wrong with it.
+    """
+
+    def __init__(self, size: int, cause: object):
+        super().__init__(f"unreadable message of {size} bytes: {cause}")
+        self.size = size
+        self.cause = cause
+
+
+class LinkLost(BergamotgateError):
+    """The link to a peer is gone.
+
+    Attributes:
+        address: ``ip:port`` of the peer.
+    """
+
+    def __init__(self, address: str):
+        super().__init__(f"link to {address} is lost")
+        self.address = address
+
+
+class AddressInUse(BergamotgateError):
+    """A listening address is taken.
+
+    Attributes:
+        address: ``ip:port`` that could not be bound.
+    """
+
+    def __init__(self, address: str):
+        super().__init__(f"address {address} is in use")
+        self.address = address
+
+
+class ExchangeError(BergamotgateError):
+    """An exchange with a backend server gave no usable reply.
+
+    Attributes:
+        address: ``ip:port`` of the backend server.
+    """
+
+    def __init__(self, address: str, cause: object = ""):
+        super().__init__(f"{type(self).__name__} at {address} {cause}".rstrip())
+        self.address = address
+        self.cause = cause
+
+
+class ConnectionRefused(ExchangeError):
+    """No connection came about, so nothing was sent."""
+
+
+class ConnectionDied(ExchangeError):
+    """The connection closed before the whole reply had come."""
+
+
+class ExchangeTimedOut(ExchangeError):
+    """No reply came in time; the connection cannot be trusted any more."""
+
+
+class WrongReply(ExchangeError):
+    """A reply came that belongs to another request or is not whole."""
--- /dev/null
+++ b/bergamotgate/front/addresses.py
@@ -0,0 +1,60 @@
+"""Which VMs a caller should use, in order of preference."""
+
+import random
+from dataclasses import dataclass
+
+from bergamotgate.config.spread import TableStore
+from bergamotgate.membership.members import MemberState, MemberTable
+from bergamotgate.platform.liststore import VmListStore
+from bergamotgate.platform.vmlist import VmStanding
+
+__all__ = ["Address", "AddressBook", "KEEP_S"]
+
+KEEP_S = 5
+MAX_ADDRESSES = 32
+
+
+@dataclass(frozen=True)
+class Address:
+    """A VM that callers may use."""
+
+    vm: str
+    zone: str
+    http: str
+
+
+class AddressBook:
+    """Lists the VMs that take requests now."""
+
+    def __init__(
+        self,
+        members: MemberTable,
+        tables: TableStore,
+        vm_lists: VmListStore,
+        rng: random.Random,
+    ):
+        self._members = members
+        self._tables = tables
+        self._vm_lists = vm_lists
+        self._rng = rng
+
+    def usable(self, zone: str) -> list[Address]:
+        """VMs that take requests, those of the caller's zone first, else in random order."""
+        addresses = [
+            Address(m.vm, m.zone, m.http)
+            for m in self._members.all()
+            if m.state is MemberState.ALIVE and self.takes_requests(m.vm, m.zone)
+        ]
+        self._rng.shuffle(addresses)
+        addresses.sort(key=lambda address: address.zone != zone)
+        return addresses[:MAX_ADDRESSES]
+
+    def takes_requests(self, vm: str, zone: str) -> bool:
+        """Whether the tables and the VM list let a VM take requests."""
+        tables = self._tables.tables
+        if tables is not None and not tables.zone_is_in(zone):
+            return False
+        vm_list = self._vm_lists.vm_list
+        listed = vm_list.vm_by_name.get(vm) if vm_list is not None else None
+        # A VM that is not listed yet has answered probes, so it may be used.
+        return listed is None or listed.standing is VmStanding.LIVE
--- /dev/null
+++ b/bergamotgate/front/answers.py
@@ -0,0 +1,83 @@
+"""Answers and refusals in the form that callers get."""
+
+import json
+from dataclasses import dataclass, field
+
+from bergamotgate.gather.query import QueryAnswer
+from bergamotgate.outcomes import NotRun, NotRunReason, Refusal, Unknown, UnknownReason
+
+__all__ = ["CallerAnswer", "MAX_ANSWER_BYTES", "redirect", "render"]
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+STATUS_ANSWERED = 200
+STATUS_REDIRECT = 307
+STATUS_NOT_RUN = 503
+STATUS_UNKNOWN = 504
+
+STATUS_BY_REASON = {
+    NotRunReason.NO_ROUTE: 404,
+    NotRunReason.BAD_DEADLINE: 400,
+    NotRunReason.BAD_KEY: 400,
+    NotRunReason.KEY_REQUIRED: 400,
+    NotRunReason.KEY_REUSED: 409,
+    NotRunReason.TOKEN_EXPIRED: 410,
+    NotRunReason.BODY_TOO_LARGE: 413,
+    NotRunReason.QUARANTINED: 422,
+}
+
+
+@dataclass(frozen=True)
+class CallerAnswer:
+    """What a caller gets.
+
+    Attributes:
+        status: HTTP status.
+        body: JSON text.
+        result: Word for counters: ``whole``, ``gaps``, ``redirect`` or the reason of a refusal.
+        headers: Further headers.
+    """
+
+    status: int
+    body: bytes
+    result: str
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+def render(result: QueryAnswer | Refusal) -> CallerAnswer:
+    """Put a result into the callers' form."""
+    if isinstance(result, QueryAnswer):
+        return _answer(result)
+    outcome = "not_run" if isinstance(result, NotRun) else "unknown"
+    default = STATUS_NOT_RUN if isinstance(result, NotRun) else STATUS_UNKNOWN
+    status = STATUS_BY_REASON.get(result.reason, default)
+    fields = {"status": "refused", "outcome": outcome, "reason": str(result.reason)}
+    return CallerAnswer(status, json.dumps(fields).encode(), str(result.reason))
+
+
+def redirect(url: str) -> CallerAnswer:
+    """Send a caller to another VM; nothing ran here."""
+    fields = {"status": "redirect", "outcome": "not_run", "location": url}
+    body = json.dumps(fields).encode()
+    return CallerAnswer(STATUS_REDIRECT, body, "redirect", {"Location": url})
+
+
+def _answer(answer: QueryAnswer) -> CallerAnswer:
+    answered = len(answer.body_by_shard)
+    if sum(map(len, answer.body_by_shard.values())) > MAX_ANSWER_BYTES:
+        return render(Unknown(UnknownReason.ANSWER_TOO_LARGE))
+    fields = {
+        "status": "answered",
+        "snapshot": answer.snapshot,
+        "coverage": {
+            "answered": answered,
+            "total": answer.total,
+            "missing": [{"shard": m.shard, "reason": m.reason} for m in answer.missing],
+        },
+        "parts": [
+            {"shard": shard, "body": body.decode(errors="replace")}
+            for shard, body in sorted(answer.body_by_shard.items())
+        ],
+    }
+    headers = {"X-Coverage": f"{answered}/{answer.total}", "X-Snapshot": answer.snapshot}
+    result = "gaps" if answer.missing else "whole"
+    return CallerAnswer(STATUS_ANSWERED, json.dumps(fields).encode(), result, headers)
--- /dev/null
+++ b/bergamotgate/gather/gatherer.py
@@ -0,0 +1,147 @@
+"""Runs queries for callers: admission, quarantine, choice of the snapshot, and another try."""
+
+import random
+from collections.abc import Callable
+
+from bergamotgate.clock import Clock
+from bergamotgate.config.tables import Pool, Snapshot, Tables
+from bergamotgate.gather.budget import ExtraBudget
+from bergamotgate.gather.dispatcher import Dispatcher
+from bergamotgate.gather.latency import RecentLatency
+from bergamotgate.gather.limiter import QueryLimiter
+from bergamotgate.gather.query import PoolTools, Query, QueryAnswer, QueryRequest
+from bergamotgate.gather.replicas import ReplicaBook
+from bergamotgate.metrics import Metrics
+from bergamotgate.outcomes import NotRun, NotRunReason, Refusal, Unknown
+from bergamotgate.quarantine.book import QuarantineBook, Suspicion
+
+__all__ = ["Gatherer"]
+
+Result = QueryAnswer | Refusal
+
+LEAST_TIME_S = 0.004
+MAX_SNAPSHOTS_TRIED = 3
+
+
+class Gatherer:
+    """Answers queries at a gateway."""
+
+    def __init__(
+        self,
+        tables: Callable[[], Tables | None],
+        replicas: ReplicaBook,
+        dispatcher: Dispatcher,
+        quarantine: QuarantineBook,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+    ):
+        self._tables = tables
+        self._replicas = replicas
+        self._dispatcher = dispatcher
+        self._quarantine = quarantine
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._tools_by_pool: dict[str, PoolTools] = {}
+        self._limiter_by_pool: dict[str, QueryLimiter] = {}
+
+    async def run(self, request: QueryRequest) -> Result:
+        """Answer one request, or refuse it and say whether it can have run."""
+        suspicion = self._quarantine.judge(request.fingerprint, request.route.urgency.canary)
+        if suspicion.refused:
+            return NotRun(NotRunReason.QUARANTINED)
+        limiter = self.limiter(request.route.pool)
+        order = request.arrived_at + request.route.urgency.patience_ms / 1000
+        if not await limiter.admit(order, request.deadline):
+            return NotRun(NotRunReason.OVERLOADED)
+        congested = True
+        try:
+            result, congested = await self._run_admitted(request, suspicion)
+        finally:
+            limiter.leave(congested)
+        return result
+
+    def limiter(self, pool: str) -> QueryLimiter:
+        """The limiter of a pool."""
+        if pool not in self._limiter_by_pool:
+            self._limiter_by_pool[pool] = QueryLimiter(self._clock)
+        return self._limiter_by_pool[pool]
+
+    def budget(self, pool: str) -> ExtraBudget:
+        """The budget of a pool."""
+        return self._pool_tools(pool).budget
+
+    async def _run_admitted(
+        self, request: QueryRequest, suspicion: Suspicion
+    ) -> tuple[Result, bool]:
+        tables = self._tables()
+        pool = tables.pool_by_name.get(request.route.pool) if tables is not None else None
+        if pool is None:
+            return NotRun(NotRunReason.NO_SERVER), False
+        result: Result = NotRun(NotRunReason.NO_SERVER)
+        ruled_out: set[str] = set()
+        congested = False
+        for _ in range(MAX_SNAPSHOTS_TRIED):
+            snapshot = self._choose_snapshot(tables, pool, ruled_out)
+            if snapshot is None or request.deadline - self._clock.now() < LEAST_TIME_S:
+                break
+            tools = self._pool_tools(pool.name)
+            query = Query(request, tables, pool, snapshot, suspicion, tools)
+            result = _better(result, await query.run())
+            congested = congested or query.congested
+            ruled_out.add(snapshot.name)
+            if not self._worth_another(query, request, pool, ruled_out):
+                break
+        return result, congested
+
+    def _worth_another(
+        self, query: Query, request: QueryRequest, pool: Pool, ruled_out: set[str]
+    ) -> bool:
+        return (
+            query.lacks_snapshot
+            and request.route.urgency.repeatable
+            and len(ruled_out) < len(pool.snapshots)
+        )
+
+    def _choose_snapshot(
+        self, tables: Tables, pool: Pool, ruled_out: set[str]
+    ) -> Snapshot | None:
+        """The first snapshot that can be served whole, else the one with most coverage."""
+        best: Snapshot | None = None
+        best_share = 0.0
+        for snapshot in pool.snapshots:
+            if snapshot.name in ruled_out:
+                continue
+            total = len(snapshot.servers_by_shard)
+            share = self._replicas.can_serve(tables, pool, snapshot) / total
+            if share == 1.0:
+                return snapshot
+            if best is None or share > best_share:
+                best, best_share = snapshot, share
+        return best
+
+    def _pool_tools(self, pool: str) -> PoolTools:
+        tools = self._tools_by_pool.get(pool)
+        if tools is None:
+            tools = PoolTools(
+                self._replicas,
+                self._dispatcher,
+                ExtraBudget(),
+                RecentLatency(self._clock),
+                self._quarantine,
+                self._clock,
+                self._rng,
+                self._metrics,
+            )
+            self._tools_by_pool[pool] = tools
+        return tools
+
+
+def _better(old: Result, new: Result) -> Result:
+    """Of the results of two tries, the one that tells the caller more."""
+    if isinstance(old, QueryAnswer) and isinstance(new, QueryAnswer):
+        return max(old, new, key=lambda answer: answer.coverage)
+    if isinstance(old, QueryAnswer | Unknown) and isinstance(new, NotRun):
+        return old
+    return new
--- /dev/null
+++ b/bergamotgate/node/node.py
@@ -0,0 +1,305 @@
+"""One whole process: its parts, their start, their drain and their end."""
+
+import random
+from dataclasses import dataclass
+
+from loguru import logger
+
+from bergamotgate.admission.owner import Owner
+from bergamotgate.backend.connection import BackendConnector
+from bergamotgate.clock import Clock, TaskGroup
+from bergamotgate.config.spread import TableStore
+from bergamotgate.config.tables import Tables
+from bergamotgate.front.addresses import AddressBook
+from bergamotgate.front.desk import FrontDesk
+from bergamotgate.gather.dispatcher import Dispatcher
+from bergamotgate.gather.gatherer import Gatherer
+from bergamotgate.gather.replicas import ReplicaBook
+from bergamotgate.keeper.book import KeeperBook
+from bergamotgate.membership.confirmation import ViewConfirmation
+from bergamotgate.membership.members import Member, MemberState, MemberTable
+from bergamotgate.membership.prober import Prober
+from bergamotgate.metrics import Metrics
+from bergamotgate.node.catchup import CatchUp
+from bergamotgate.node.peerserver import PeerServer
+from bergamotgate.node.status import node_status
+from bergamotgate.ownership.directory import OwnerDirectory
+from bergamotgate.ownership.lease import LeaseBook
+from bergamotgate.ownership.rendezvous import rank
+from bergamotgate.ownership.share import ShareKeeper
+from bergamotgate.platform.follower import WATCHERS_PER_ZONE, Follower
+from bergamotgate.platform.liststore import VmListStore
+from bergamotgate.platform.service import ConfigurationService, VmListService
+from bergamotgate.platform.vmlist import VmList
+from bergamotgate.quarantine.book import QuarantineBook
+from bergamotgate.settings import Settings
+from bergamotgate.wire.generated.ttypes import RevisionMark
+from bergamotgate.wire.links import Links
+from bergamotgate.wire.network import Network
+from bergamotgate.wire.port import PeerPort
+
+__all__ = ["Node", "NodeServices"]
+
+JOIN_PEERS = 5
+JOIN_WAIT_S = 0.5
+JOIN_STEP_S = 0.05
+DRAIN_STEP_S = 0.05
+SETTLE_LEAST_S = 0.5
+SETTLE_MOST_S = 5.0
+
+
+@dataclass(frozen=True)
+class NodeServices:
+    """Everything outside a node that it uses.
+
+    Attributes:
+        configuration: The platform's configuration service.
+        vm_list: The platform's VM list.
+        network: The way to other nodes.
+        connector: The way to backend servers.
+        clock: Time.
+        rng: Randomness.
+        boot: Start of the process, in milliseconds since 1970.
+    """
+
+    configuration: ConfigurationService
+    vm_list: VmListService
+    network: Network
+    connector: BackendConnector
+    clock: Clock
+    rng: random.Random
+    boot: int
+
+
+class Node:
+    """A process that takes callers' requests and owns a part of the backend servers.
+
+    Attributes:
+        desk: Takes callers' requests.
+        metrics: Counters.
+    """
+
+    def __init__(self, settings: Settings, services: NodeServices):
+        self.settings = settings
+        self._services = services
+        clock = services.clock
+        self.metrics = Metrics()
+        own = Member(
+            settings.vm,
+            settings.zone,
+            settings.peer,
+            settings.http,
+            services.boot,
+            0,
+            MemberState.ALIVE,
+        )
+        self.members = MemberTable(own)
+        self.confirmation = ViewConfirmation(clock)
+        self.port = PeerPort(settings.vm, services.boot, self.metrics)
+        self.links = Links(services.network, clock, self.metrics)
+        self.tables = TableStore(self.metrics)
+        self.vm_lists = VmListStore(self.metrics)
+        self.prober = Prober(
+            self.members, self.port, clock, services.rng, self.confirmation, self.metrics
+        )
+        self._make_owner_side(clock)
+        self._make_caller_side(clock)
+        self._catchup = CatchUp(self.tables, self.vm_lists, self.links)
+        self.port.subscribe(self._catchup.receive)
+        self._peer_server = PeerServer(
+            f"{settings.vm}-{services.boot}",
+            self.owner,
+            self.tables,
+            self.vm_lists,
+            self.desk.keeper_call,
+            clock,
+            self.metrics,
+        )
+        self._tables_follower = self._make_tables_follower()
+        self._list_follower = self._make_list_follower()
+        self._tasks = TaskGroup("node:")
+        self.tables.on_change(self._use_tables)
+        self.vm_lists.on_change(self._use_list)
+
+    async def start(self) -> None:
+        """Open the peers' address, join the fleet and take the newest tables.
+
+        Raises:
+            AddressInUse: Another process has the address.
+        """
+        await self.port.open(self._services.network, self.settings.peer)
+        await self._peer_server.open(self._services.network, self.settings.peer)
+        self.owner.start()
+        self.leases.start()
+        self.prober.start()
+        self._tasks.start(self._join())
+
+    async def drain(self, wait_s: float) -> bool:
+        """Leave the fleet, finish what runs; return whether all was finished in time."""
+        logger.info("node: This VM leaves.")
+        self.desk.draining = True
+        self.keeper.drain()
+        self.prober.leave()
+        self.owner.drain()
+        until = self._services.clock.now() + wait_s
+        while self._is_busy() and self._services.clock.now() < until:
+            await self._services.clock.sleep(DRAIN_STEP_S)
+        return not self._is_busy()
+
+    async def close(self) -> None:
+        """Stop everything at once."""
+        for part in (self._tasks, self._tables_follower, self._list_follower, self._catchup):
+            await part.close()
+        await self.keeper.close()
+        await self.owner.close()
+        await self.leases.close()
+        await self.prober.close()
+        await self._peer_server.close()
+        await self.links.close()
+        self.port.close()
+
+    def status(self) -> dict:
+        """What this process believes and does."""
+        return node_status(self)
+
+    def is_watcher(self) -> bool:
+        """Whether this process watches the platform's services for its zone."""
+        zone = self.settings.zone
+        alive = [m.vm for m in self.members.all() if m.reachable and m.zone == zone]
+        return self.settings.vm in rank(f"watch/{zone}", alive)[:WATCHERS_PER_ZONE]
+
+    def _is_busy(self) -> bool:
+        return bool(self.desk.in_progress or self.owner.running or self.keeper.running)
+
+    def _make_owner_side(self, clock: Clock) -> None:
+        vm = self.settings.vm
+        self.directory = OwnerDirectory(vm, self.members, clock)
+        self.leases = LeaseBook(
+            self.directory, self.members, self.port, clock, lambda: self.owner.warm_servers()
+        )
+        shares = ShareKeeper(vm, self.directory, self.leases, clock, self._settle_s)
+        self.owner = Owner(
+            self.directory,
+            shares,
+            self.confirmation,
+            self._services.connector,
+            clock,
+            self.metrics,
+        )
+        self.owner.follow_leases(self.leases)
+
+    def _make_caller_side(self, clock: Clock) -> None:
+        vm = self.settings.vm
+        rng = self._services.rng
+        self.quarantine = QuarantineBook(self.port, self._peer_addresses, clock, self.metrics)
+        self.replicas = ReplicaBook(self.directory, clock, rng)
+        dispatcher = Dispatcher(
+            vm,
+            f"{vm}-{self._services.boot}-0",
+            self.members,
+            self.links,
+            self.owner,
+            clock,
+            self.metrics,
+        )
+        self.gatherer = Gatherer(
+            lambda: self.tables.tables,
+            self.replicas,
+            dispatcher,
+            self.quarantine,
+            clock,
+            rng,
+            self.metrics,
+        )
+        self.keeper = KeeperBook(vm, self._services.boot, clock)
+        self.addresses = AddressBook(self.members, self.tables, self.vm_lists, rng)
+        self.desk = FrontDesk(
+            self.members,
+            self.prober,
+            self.confirmation,
+            self.addresses,
+            lambda: self.tables.tables,
+            self.gatherer,
+            self.keeper,
+            self.links,
+            clock,
+            self.metrics,
+        )
+
+    def _make_tables_follower(self) -> Follower:
+        return Follower(
+            "configuration",
+            self._services.configuration,
+            lambda: self.tables.seen_revision,
+            self.is_watcher,
+            lambda: len(self.members.all()),
+            lambda value: self.tables.offer(value.revision, value.routes, value.pools),
+            self._confirm_without_peers,
+            self._services.clock,
+            self._services.rng,
+            self.metrics,
+        )
+
+    def _make_list_follower(self) -> Follower:
+        return Follower(
+            "vm_list",
+            self._services.vm_list,
+            lambda: self.vm_lists.seen_revision,
+            self.is_watcher,
+            lambda: len(self.members.all()),
+            lambda value: self.vm_lists.offer(value.revision, value.text),
+            lambda asked_at: None,
+            self._services.clock,
+            self._services.rng,
+            self.metrics,
+        )
+
+    def _confirm_without_peers(self, asked_at: float) -> None:
+        self.confirmation.confirm(asked_at)
+
+    async def _join(self) -> None:
+        """Hear what the peers have before the service is believed."""
+        await self._list_follower.read_once()
+        self._list_follower.start()
+        listed = self.vm_lists.vm_list
+        peers = [v.peer for v in listed.vm_by_name.values()] if listed is not None else []
+        others = [peer for peer in {*peers, *self.settings.seeds} if peer != self.settings.peer]
+        chosen = self._services.rng.sample(sorted(others), min(JOIN_PEERS, len(others)))
+        self.prober.join(chosen)
+        until = self._services.clock.now() + JOIN_WAIT_S
+        while chosen and self.tables.tables is None and self._services.clock.now() < until:
+            await self._services.clock.sleep(JOIN_STEP_S)
+        await self._tables_follower.read_once()
+        self._tables_follower.start()
+        logger.info("node: Joined with revision {}.", self.tables.revision)
+
+    def _peer_addresses(self) -> list[str]:
+        return [m.peer for m in self.members.others((MemberState.ALIVE, MemberState.SUSPECT))]
+
+    def _settle_s(self, pool: str) -> float:
+        """Time after which no sub-request of a previous owner can still run."""
+        tables = self.tables.tables
+        if tables is None:
+            return SETTLE_MOST_S
+        deadlines = (
+            route.urgency.deadline_ms
+            for route in tables.route_by_name.values()
+            if route.pool == pool
+        )
+        longest_s = max(deadlines, default=0) / 1000
+        return min(SETTLE_MOST_S, max(SETTLE_LEAST_S, longest_s))
+
+    def _use_tables(self, tables: Tables) -> None:
+        self.port.tables_mark = RevisionMark(tables.revision, tables.digest)
+        self.directory.use_tables(tables)
+        self.owner.use_tables(tables)
+        self.prober.spread_marks()
+
+    def _use_list(self, vm_list: VmList) -> None:
+        self.port.vm_list_mark = RevisionMark(vm_list.revision, vm_list.digest)
+        self.prober.use_list(vm_list)
+        self.directory.use_list(vm_list)
+        self.links.keep_only({vm.peer for vm in vm_list.vm_by_name.values()})
+        self.prober.spread_marks()
+
+
--- /dev/null
+++ b/bergamotgate/node/status.py
@@ -0,0 +1,63 @@
+"""What a process believes and does, for operators."""
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from bergamotgate.node.node import Node
+
+__all__ = ["node_status"]
+
+
+def node_status(node: "Node") -> dict[str, Any]:
+    """State of one process, as JSON values."""
+    tables = node.tables.tables
+    rejected = node.tables.rejected
+    return {
+        "vm": node.settings.vm,
+        "zone": node.settings.zone,
+        "boot": node.port.boot,
+        "tables": {
+            "revision": node.tables.revision,
+            "digest": tables.digest if tables is not None else "",
+            "rejected": [str(p) for p in rejected.problems] if rejected is not None else [],
+        },
+        "vm_list_revision": node.vm_lists.revision,
+        "view_fresh": node.confirmation.is_fresh(),
+        "draining": node.desk.draining,
+        "takes_requests": node.desk.takes_requests(),
+        "in_progress": node.desk.in_progress,
+        "kept_requests_running": node.keeper.running,
+        "refused_fingerprints": node.quarantine.refused_count(),
+        "members": {m.vm: m.state.name.lower() for m in node.members.all()},
+        "groups": _groups(node),
+        "servers": _servers(node),
+        "limits": _limits(node),
+    }
+
+
+def _groups(node: "Node") -> dict[str, str]:
+    return {
+        f"{group.pool}/{group.zone}/{group.number}": (
+            "first" if ranking.first == node.settings.vm else "second"
+        )
+        for group, ranking in node.directory.own_groups().items()
+    }
+
+
+def _servers(node: "Node") -> dict[str, dict[str, Any]]:
+    return {
+        f"{owned.pool.name}/{owned.server.name}": {
+            "running": owned.running,
+            "queued": len(owned.queue),
+            "allowance": owned.allowance(),
+            "connections": owned.open_connections,
+            "warm": owned.warmth.is_warm,
+        }
+        for owned in node.owner.owned()
+    }
+
+
+def _limits(node: "Node") -> dict[str, int]:
+    tables = node.tables.tables
+    names = tables.pool_by_name if tables is not None else ()
+    return {name: node.gatherer.limiter(name).limit for name in names}
--- /dev/null
+++ b/bergamotgate/outcomes.py
@@ -0,0 +1,101 @@
+"""Sentinel values for requests that got no answer, each with a reason and what it proves.
+
+``NotRun`` takes only reasons that prove that nothing ran; ``Unknown`` takes the others. A claim
+that the evidence does not support therefore cannot be built.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from bergamotgate.wire.generated.ttypes import Reason
+
+__all__ = [
+    "NotRun",
+    "NotRunReason",
+    "PROVEN_NOT_RUN",
+    "Refusal",
+    "Unknown",
+    "UnknownReason",
+    "reason_name",
+]
+
+
+class NotRunReason(StrEnum):
+    """Refusals made before anything was sent to a backend server."""
+
+    NO_ROUTE = "no_route"
+    BAD_DEADLINE = "bad_deadline"
+    BODY_TOO_LARGE = "body_too_large"
+    BAD_KEY = "bad_key"
+    KEY_REUSED = "key_reused"
+    KEY_REQUIRED = "key_required"
+    TOKEN_EXPIRED = "token_expired"
+    DEADLINE_TOO_NEAR = "deadline_too_near"
+    OVERLOADED = "overloaded"
+    VIEW_UNCONFIRMED = "view_unconfirmed"
+    NO_CONFIGURATION = "no_configuration"
+    DRAINING = "draining"
+    QUARANTINED = "quarantined"
+    NO_SERVER = "no_server"
+    ALL_DECLINED = "all_declined"
+
+
+class UnknownReason(StrEnum):
+    """Refusals after which the request may have run."""
+
+    TIMED_OUT = "timed_out"
+    CONNECTION_DIED = "connection_died"
+    KEEPER_GONE = "keeper_gone"
+    TOKEN_OUTLIVED = "token_outlived"
+    SERVER_ERROR = "server_error"
+    COVERAGE_BELOW = "coverage_below"
+    ANSWER_TOO_LARGE = "answer_too_large"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True)
+class NotRun:
+    """The request did not run and will not run."""
+
+    reason: NotRunReason
+
+    def __post_init__(self) -> None:
+        if not isinstance(self.reason, NotRunReason):
+            raise TypeError(f"{self.reason!r} does not prove that nothing ran")
+
+
+@dataclass(frozen=True)
+class Unknown:
+    """The request may have run."""
+
+    reason: UnknownReason
+
+    def __post_init__(self) -> None:
+        if not isinstance(self.reason, UnknownReason):
+            raise TypeError(f"{self.reason!r} is not a reason for an unknown outcome")
+
+
+Refusal = NotRun | Unknown
+
+PROVEN_NOT_RUN = frozenset(
+    {
+        Reason.EXPIRED_IN_QUEUE,
+        Reason.QUEUE_FULL,
+        Reason.NOT_OWNER,
+        Reason.OWNER_NOT_READY,
+        Reason.NO_FREE_SLOT,
+        Reason.SERVER_SHED,
+        Reason.SERVER_DRAINING,
+        Reason.SNAPSHOT_MISSING,
+        Reason.CONNECT_FAILED,
+        Reason.SERVER_OUT,
+        Reason.VIEW_UNCONFIRMED,
+        Reason.CANCELLED_IN_QUEUE,
+        Reason.UNKNOWN_SERVER,
+    }
+)
+
+
+def reason_name(reason: int) -> str:
+    """Name of a sub-request's reason in lower case, as counters and answers show it."""
+    return Reason._VALUES_TO_NAMES.get(reason, "unlisted").lower()
--- /dev/null
+++ b/bergamotgate/ownership/__init__.py
@@ -0,0 +1,18 @@
+"""Which VM speaks to which backend server, and how much of its limits it may use."""
+
+from bergamotgate.ownership.directory import OwnerDirectory, Ranking, ServerGroup
+from bergamotgate.ownership.lease import LEASE_S, LeaseBook
+from bergamotgate.ownership.rendezvous import rank
+from bergamotgate.ownership.share import NO_SHARE, Share, ShareKeeper
+
+__all__ = [
+    "LEASE_S",
+    "LeaseBook",
+    "NO_SHARE",
+    "OwnerDirectory",
+    "Ranking",
+    "ServerGroup",
+    "Share",
+    "ShareKeeper",
+    "rank",
+]
--- /dev/null
+++ b/bergamotgate/ownership/directory.py
@@ -0,0 +1,148 @@
+"""Places each group of backend servers on two VMs: a first owner and a second that stands in.
+
+The placing is a pure function of the tables, the VM list and the VMs that said that they left.
+What a process believes about who is alive never moves a group; it only decides which of the two
+serves.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bergamotgate.clock import Clock
+from bergamotgate.config.tables import Pool, Server, Tables
+from bergamotgate.membership.members import MemberState, MemberTable
+from bergamotgate.ownership.rendezvous import rank
+from bergamotgate.platform.vmlist import VmList
+
+__all__ = ["OwnerDirectory", "Ranking", "ServerGroup"]
+
+
+@dataclass(frozen=True)
+class ServerGroup:
+    """Backend servers of one pool and zone that share their owners."""
+
+    pool: str
+    zone: str
+    number: int
+
+
+@dataclass(frozen=True)
+class Ranking:
+    """The two VMs that may serve a group.
+
+    Attributes:
+        first: The owner, or None when no VM is listed.
+        second: The stand-in, or None when only one VM is listed.
+        since: When this process first saw this ranking, in seconds.
+    """
+
+    first: str | None
+    second: str | None
+    since: float
+
+
+class OwnerDirectory:
+    """Rankings of all groups, made when they are first asked for."""
+
+    def __init__(self, own_vm: str, members: MemberTable, clock: Clock):
+        self._own_vm = own_vm
+        self._members = members
+        self._clock = clock
+        self._tables: Tables | None = None
+        self._vm_list: VmList | None = None
+        self._vms_by_zone: dict[str, list[str]] = {}
+        self._left: frozenset[str] = frozenset()
+        self._ranking_by_group: dict[ServerGroup, Ranking] = {}
+        self._previous_by_group: dict[ServerGroup, Ranking] = {}
+        self._listeners: list[Callable[[], None]] = []
+        members.on_change(lambda member: self._notice_left())
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call back after rankings may have changed."""
+        self._listeners.append(listener)
+
+    def use_tables(self, tables: Tables) -> None:
+        """Take the standing of zones and the groups of pools from new tables."""
+        self._tables = tables
+        self._rebuild()
+
+    def use_list(self, vm_list: VmList) -> None:
+        """Take the candidates from a new VM list."""
+        self._vm_list = vm_list
+        self._rebuild()
+
+    def group_of(self, pool: Pool, server: Server) -> ServerGroup:
+        """The group that a server belongs to."""
+        return ServerGroup(pool.name, server.zone, pool.group_by_server[server.name])
+
+    def ranking(self, group: ServerGroup) -> Ranking:
+        """The two VMs that may serve a group."""
+        known = self._ranking_by_group.get(group)
+        if known is None:
+            known = self._rank_group(group)
+            self._ranking_by_group[group] = known
+        return known
+
+    def serving(self, group: ServerGroup) -> str | None:
+        """The VM to send work for a group to, or None when neither is believed alive."""
+        ranking = self.ranking(group)
+        for vm in (ranking.first, ranking.second):
+            if vm is not None and (vm == self._own_vm or self._members.reachable(vm)):
+                return vm
+        return None
+
+    def own_groups(self) -> dict[ServerGroup, Ranking]:
+        """Groups for which this process is the first or the second."""
+        if self._tables is None:
+            return {}
+        found = {}
+        for pool in self._tables.pool_by_name.values():
+            for server in pool.server_by_name.values():
+                group = self.group_of(pool, server)
+                ranking = self.ranking(group)
+                if self._own_vm in (ranking.first, ranking.second):
+                    found[group] = ranking
+        return found
+
+    def _notice_left(self) -> None:
+        left = frozenset(m.vm for m in self._members.all() if m.state is MemberState.LEFT)
+        if left != self._left:
+            self._left = left
+            self._rebuild()
+
+    def _rebuild(self) -> None:
+        self._previous_by_group.update(self._ranking_by_group)
+        self._ranking_by_group = {}
+        by_zone = defaultdict(list)
+        if self._vm_list is not None:
+            for name in self._vm_list.live_names:
+                zone = self._vm_list.vm_by_name[name].zone
+                if name not in self._left and self._zone_is_in(zone):
+                    by_zone[zone].append(name)
+        self._vms_by_zone = dict(by_zone)
+        for listener in self._listeners:
+            listener()
+
+    def _zone_is_in(self, zone: str) -> bool:
+        return self._tables is None or self._tables.zone_is_in(zone)
+
+    def _rank_group(self, group: ServerGroup) -> Ranking:
+        key = f"{group.pool}/{group.zone}/{group.number}"
+        chosen: list[str] = []
+        for zone in self._zones_from(group.zone):
+            chosen += rank(key, self._vms_by_zone.get(zone, ()))
+            if len(chosen) >= 2:
+                break
+        first = chosen[0] if chosen else None
+        second = chosen[1] if len(chosen) > 1 else None
+        previous = self._previous_by_group.get(group)
+        if previous is not None and (previous.first, previous.second) == (first, second):
+            return previous
+        return Ranking(first, second, self._clock.now())
+
+    def _zones_from(self, zone: str) -> list[str]:
+        """All zones in a fixed order that starts at the group's own."""
+        zones = sorted({zone, *self._vms_by_zone})
+        start = zones.index(zone)
+        return zones[start:] + zones[:start]
--- /dev/null
+++ b/bergamotgate/platform/liststore.py
@@ -0,0 +1,52 @@
+"""The VM list in force on this process."""
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from bergamotgate.errors import VmListRejected
+from bergamotgate.metrics import Metrics
+from bergamotgate.platform.vmlist import VmList, read_vm_list
+
+__all__ = ["VmListStore"]
+
+
+class VmListStore:
+    """Holds the accepted VM list with the highest revision; never goes back."""
+
+    def __init__(self, metrics: Metrics):
+        self._metrics = metrics
+        self._listeners: list[Callable[[VmList], None]] = []
+        self._rejected_revision = -1
+        self.vm_list: VmList | None = None
+
+    @property
+    def revision(self) -> int:
+        """Revision in force; -1 while there is none."""
+        return self.vm_list.revision if self.vm_list is not None else -1
+
+    @property
+    def seen_revision(self) -> int:
+        """Highest revision that was accepted or rejected; -1 while there is none."""
+        return max(self.revision, self._rejected_revision)
+
+    def on_change(self, listener: Callable[[VmList], None]) -> None:
+        """Call back with each list that comes into force."""
+        self._listeners.append(listener)
+
+    def offer(self, revision: int, text: str) -> bool:
+        """Take a published list; return whether it came into force."""
+        if revision <= self.seen_revision:
+            return False
+        try:
+            vm_list = read_vm_list(revision, text)
+        except VmListRejected as error:
+            self._rejected_revision = revision
+            self._metrics.tables_rejected.labels("vm_list").inc()
+            logger.error("platform: VM list {} is rejected: {}", revision, error)
+            return False
+        self.vm_list = vm_list
+        logger.info("platform: VM list {} names {} VMs.", revision, len(vm_list.vm_by_name))
+        for listener in self._listeners:
+            listener(vm_list)
+        return True
--- /dev/null
+++ b/bergamotgate/standin/memory.py
@@ -0,0 +1,371 @@
+"""Network and backend connections in memory, with the faults of real ones."""
+
+import asyncio
+import contextvars
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bergamotgate.backend.connection import BackendReply, BackendRequest
+from bergamotgate.clock import Clock
+from bergamotgate.errors import (
+    AddressInUse,
+    ConnectionDied,
+    ConnectionRefused,
+    ExchangeTimedOut,
+    LinkLost,
+)
+from bergamotgate.standin.server import StandinServer
+from bergamotgate.wire.network import OnDatagram, OnStream
+
+__all__ = ["MemoryConnector", "MemoryNetwork", "NetworkFaults"]
+
+CONNECT_TIMEOUT_S = 1.0
+SERVER_KEEPS_SILENT_S = 20.0
+CLOSED = None
+
+
+class NetworkFaults:
+    """Which addresses cannot reach each other, and how long a message takes.
+
+    Attributes:
+        generation: Connections of an older generation are silent.
+    """
+
+    def __init__(self, zone_by_address: dict[str, str], same_s: float, other_s: float):
+        self._zone_by_address = zone_by_address
+        self._same_s = same_s
+        self._other_s = other_s
+        self._side_by_address: dict[str, int] = {}
+        self.down: set[str] = set()
+        self.generation = 0
+        self.loss: Callable[[], bool] = lambda: False
+
+    def split(self, sides: list[list[str]]) -> None:
+        """Let only addresses of the same side reach each other."""
+        self._side_by_address = {
+            address: number for number, side in enumerate(sides) for address in side
+        }
+
+    def heal(self) -> None:
+        """End a split."""
+        self._side_by_address = {}
+
+    def silence(self) -> None:
+        """Make every connection that is open now silent for good."""
+        self.generation += 1
+
+    def reaches(self, one: str, other: str) -> bool:
+        """Whether messages pass between two addresses."""
+        if one in self.down or other in self.down:
+            return False
+        return self._side_by_address.get(one) == self._side_by_address.get(other)
+
+    def delay_s(self, one: str, other: str) -> float:
+        """Time of a message between two addresses."""
+        same = self._zone_by_address.get(one) == self._zone_by_address.get(other)
+        return self._same_s if same else self._other_s
+
+
+class MemoryNetwork:
+    """The network between nodes; one object serves the whole fleet."""
+
+    def __init__(self, faults: NetworkFaults):
+        self.faults = faults
+        self._port_by_address: dict[str, _MemoryPort] = {}
+        self._listener_by_address: dict[str, _MemoryListener] = {}
+        self._streams_by_address: dict[str, set[_MemoryStream]] = {}
+
+    def seen_from(self, address: str) -> "MemoryNetworkView":
+        """The network as a node with that address uses it."""
+        return MemoryNetworkView(self, address)
+
+    def drop(self, address: str) -> None:
+        """End everything of a killed node."""
+        self._port_by_address.pop(address, None)
+        self._listener_by_address.pop(address, None)
+        for stream in list(self._streams_by_address.pop(address, ())):
+            stream.close()
+
+    def add_port(self, address: str, port: "_MemoryPort") -> None:
+        """Register a datagram port."""
+        if address in self._port_by_address:
+            raise AddressInUse(address)
+        self._port_by_address[address] = port
+
+    def add_listener(self, address: str, listener: "_MemoryListener") -> None:
+        """Register a listener."""
+        if address in self._listener_by_address:
+            raise AddressInUse(address)
+        self._listener_by_address[address] = listener
+
+    def remove_port(self, address: str) -> None:
+        """Forget a datagram port."""
+        self._port_by_address.pop(address, None)
+
+    def remove_listener(self, address: str) -> None:
+        """Forget a listener."""
+        self._listener_by_address.pop(address, None)
+
+    def deliver(self, source: str, target: str, data: bytes) -> None:
+        """Carry a datagram."""
+        if not self.faults.reaches(source, target) or self.faults.loss():
+            return
+        loop = asyncio.get_running_loop()
+        delay_s = self.faults.delay_s(source, target)
+        port = self._port_by_address.get(target)
+        if port is not None:
+            loop.call_later(delay_s, port.receive, source, data, context=port.context)
+
+    async def connect(self, source: str, target: str) -> "_MemoryStream":
+        """Open a stream."""
+        if not self.faults.reaches(source, target):
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            raise LinkLost(target)
+        await asyncio.sleep(2 * self.faults.delay_s(source, target))
+        listener = self._listener_by_address.get(target)
+        if listener is None:
+            raise LinkLost(target)
+        near = _MemoryStream(self.faults, source, target)
+        far = _MemoryStream(self.faults, target, source)
+        near.other, far.other = far, near
+        self._streams_by_address.setdefault(source, set()).add(near)
+        self._streams_by_address.setdefault(target, set()).add(far)
+        listener.accept(far)
+        return near
+
+
+class MemoryNetworkView:
+    """One node's way to the others."""
+
+    def __init__(self, network: MemoryNetwork, address: str):
+        self._network = network
+        self._address = address
+
+    async def open_datagrams(self, address: str, on_datagram: OnDatagram) -> "_MemoryPort":
+        """Open a datagram port."""
+        port = _MemoryPort(self._network, address, on_datagram)
+        self._network.add_port(address, port)
+        return port
+
+    async def listen(self, address: str, on_stream: OnStream) -> "_MemoryListener":
+        """Accept streams."""
+        listener = _MemoryListener(self._network, address, on_stream)
+        self._network.add_listener(address, listener)
+        return listener
+
+    async def connect(self, address: str) -> "_MemoryStream":
+        """Open a stream."""
+        return await self._network.connect(self._address, address)
+
+
+class _MemoryPort:
+    def __init__(self, network: MemoryNetwork, address: str, on_datagram: OnDatagram):
+        self._network = network
+        self._address = address
+        self._on_datagram = on_datagram
+        self.context = contextvars.copy_context()
+
+    def receive(self, source: str, data: bytes) -> None:
+        self._on_datagram(source, data)
+
+    def send(self, address: str, data: bytes) -> None:
+        self._network.deliver(self._address, address, data)
+
+    def close(self) -> None:
+        self._network.remove_port(self._address)
+
+
+class _MemoryListener:
+    def __init__(self, network: MemoryNetwork, address: str, on_stream: OnStream):
+        self._network = network
+        self._address = address
+        self._on_stream = on_stream
+        self._context = contextvars.copy_context()
+        self._tasks: set[asyncio.Task] = set()
+
+    def accept(self, stream: "_MemoryStream") -> None:
+        self._context.copy().run(self._serve, stream)
+
+    def _serve(self, stream: "_MemoryStream") -> None:
+        task = asyncio.get_running_loop().create_task(self._on_stream(stream))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def close(self) -> None:
+        self._network.remove_listener(self._address)
+
+
+class _MemoryStream:
+    def __init__(self, faults: NetworkFaults, own: str, peer: str):
+        self._faults = faults
+        self._own = own
+        self.peer = peer
+        self.other: _MemoryStream | None = None
+        self._inbox: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self._generation = faults.generation
+        self._closed = False
+
+    def send(self, data: bytes) -> None:
+        if self._closed:
+            raise LinkLost(self.peer)
+        if self._passes():
+            delay_s = self._faults.delay_s(self._own, self.peer)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self.other.arrive, data, context=contextvars.Context())
+
+    async def receive(self) -> bytes:
+        data = await self._inbox.get()
+        if data is CLOSED:
+            self._closed = True
+            raise LinkLost(self.peer)
+        return data
+
+    def close(self) -> None:
+        if self._closed:
+            return
+        self._closed = True
+        self._inbox.put_nowait(CLOSED)
+        if self._passes():
+            self.other.arrive(CLOSED)
+
+    def arrive(self, data: bytes | None) -> None:
+        self._inbox.put_nowait(data)
+
+    def _passes(self) -> bool:
+        fresh = self._generation == self._faults.generation
+        return fresh and self._faults.reaches(self._own, self.peer)
+
+
+@dataclass(frozen=True)
+class _Way:
+    """The path of a connection between a VM and a backend server."""
+
+    faults: NetworkFaults
+    source: str
+    target: str
+
+    def reaches(self) -> bool:
+        return self.faults.reaches(self.source, self.target)
+
+    def delay_s(self) -> float:
+        return self.faults.delay_s(self.source, self.target)
+
+
+class MemoryConnector:
+    """Backend connections of one VM."""
+
+    def __init__(
+        self,
+        source: str,
+        server_by_address: dict[str, StandinServer],
+        faults: NetworkFaults,
+        clock: Clock,
+    ):
+        self._source = source
+        self._server_by_address = server_by_address
+        self._faults = faults
+        self._clock = clock
+        self.open_connections: set[MemoryConnection] = set()
+
+    def open(self, address: str) -> "MemoryConnection":
+        """A connection that opens at its first exchange."""
+        server = self._server_by_address[address]
+        way = _Way(self._faults, self._source, address)
+        connection = MemoryConnection(server, way, self._clock, self)
+        self.open_connections.add(connection)
+        return connection
+
+    def drop(self) -> None:
+        """End the connections of a killed VM."""
+        for connection in list(self.open_connections):
+            connection.close()
+
+
+class MemoryConnection:
+    """One connection to a stand-in server."""
+
+    def __init__(
+        self, server: StandinServer, way: _Way, clock: Clock, connector: MemoryConnector
+    ):
+        self._server = server
+        self._way = way
+        self._clock = clock
+        self._connector = connector
+        self._generation = way.faults.generation
+        self._incarnation: int | None = None
+        self._closed = asyncio.Event()
+        self._work: asyncio.Task | None = None
+        self.used = False
+
+    async def exchange(self, request: BackendRequest) -> BackendReply:
+        """Send a request and wait for its reply."""
+        deadline = self._clock.now() + request.budget_ms / 1000
+        if self._incarnation is None:
+            await self._connect(deadline)
+        if not self._passes():
+            await self._clock.sleep(deadline - self._clock.now())
+            raise ExchangeTimedOut(self._server.name)
+        await self._clock.sleep(self._way.delay_s())
+        if self._is_broken():
+            raise ConnectionDied(self._server.name)
+        return await self._run(request, deadline)
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._closed.is_set():
+            return
+        self._closed.set()
+        self._connector.open_connections.discard(self)
+        if self._work is not None:
+            self._work.cancel()
+        if self._incarnation is None:
+            return
+        if self._passes():
+            self._server.connection_closed(self._incarnation)
+        else:
+            loop = asyncio.get_running_loop()
+            loop.call_later(
+                SERVER_KEEPS_SILENT_S,
+                self._server.connection_closed,
+                self._incarnation,
+                context=contextvars.Context(),
+            )
+
+    async def _connect(self, deadline: float) -> None:
+        if not self._way.reaches() or not self._server.up:
+            await self._clock.sleep(min(self._way.delay_s(), deadline - self._clock.now()))
+            raise ConnectionRefused(self._server.name)
+        self._incarnation = self._server.connection_opened()
+        await self._clock.sleep(self._server.limits.connect_s)
+
+    async def _run(self, request: BackendRequest, deadline: float) -> BackendReply:
+        """Wait for the server, the deadline or the close, whichever comes first."""
+        loop = asyncio.get_running_loop()
+        self._work = loop.create_task(self._server.run(request), context=contextvars.Context())
+        closed = asyncio.ensure_future(self._closed.wait())
+        try:
+            await asyncio.wait(
+                {self._work, closed},
+                timeout=deadline - self._clock.now(),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            closed.cancel()
+        if self._closed.is_set():
+            raise ConnectionDied(self._server.name, "closed here")
+        if not self._work.done() or not self._passes():
+            self._work.cancel()
+            raise ExchangeTimedOut(self._server.name)
+        reply = None if self._work.cancelled() else self._work.result()
+        await self._clock.sleep(self._way.delay_s())
+        if reply is None:
+            raise ConnectionDied(self._server.name)
+        self.used = True
+        return reply
+
+    def _passes(self) -> bool:
+        return self._generation == self._way.faults.generation and self._way.reaches()
+
+    def _is_broken(self) -> bool:
+        gone = not self._server.up or self._incarnation != self._server.incarnation
+        return gone or self._closed.is_set()
--- /dev/null
+++ b/bergamotgate/wire/__init__.py
@@ -0,0 +1,19 @@
+"""Messages between the processes of the system."""
+
+from bergamotgate.wire.codec import (
+    MAX_DATAGRAM_BYTES,
+    MAX_FRAME_BYTES,
+    WIRE_VERSION,
+    decode_datagram,
+    decode_frame,
+    encode,
+)
+
+__all__ = [
+    "MAX_DATAGRAM_BYTES",
+    "MAX_FRAME_BYTES",
+    "WIRE_VERSION",
+    "decode_datagram",
+    "decode_frame",
+    "encode",
+]
--- /dev/null
+++ b/bergamotgate/wire/port.py
@@ -0,0 +1,78 @@
+"""One datagram port for all parts of a node: stamps what leaves, checks and hands on what comes."""
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from bergamotgate.errors import FrameError
+from bergamotgate.metrics import Metrics
+from bergamotgate.wire.codec import WIRE_VERSION, decode_datagram, encode
+from bergamotgate.wire.generated.ttypes import Datagram, RevisionMark
+from bergamotgate.wire.network import DatagramPort, Network
+
+__all__ = ["PeerPort"]
+
+OnMessage = Callable[[str, Datagram], None]
+
+
+class PeerPort:
+    """Sends and receives datagrams in the name of one process.
+
+    Attributes:
+        tables_mark: Revision of the tables in force, stamped on each datagram.
+        vm_list_mark: Revision of the VM list in force, stamped on each datagram.
+    """
+
+    def __init__(self, vm: str, boot: int, metrics: Metrics):
+        self.vm = vm
+        self.boot = boot
+        self.tables_mark: RevisionMark | None = None
+        self.vm_list_mark: RevisionMark | None = None
+        self._metrics = metrics
+        self._handlers: list[OnMessage] = []
+        self._port: DatagramPort | None = None
+
+    def subscribe(self, handler: OnMessage) -> None:
+        """Hand each readable datagram to a callback, with its sender's address."""
+        self._handlers.append(handler)
+
+    async def open(self, network: Network, address: str) -> None:
+        """Start to receive."""
+        self._port = await network.open_datagrams(address, self._receive)
+
+    def close(self) -> None:
+        """Stop to receive."""
+        if self._port is not None:
+            self._port.close()
+            self._port = None
+
+    def send(self, address: str, **fields: object) -> None:
+        """Send the given fields of a datagram."""
+        if self._port is None:
+            return
+        message = Datagram(
+            version=WIRE_VERSION,
+            sender=self.vm,
+            boot=self.boot,
+            tables=self.tables_mark,
+            vm_list=self.vm_list_mark,
+            **fields,
+        )
+        data = encode(message)
+        self._metrics.control_bytes.labels("sent").inc(len(data))
+        self._metrics.control_messages.labels("sent").inc()
+        self._port.send(address, data)
+
+    def _receive(self, address: str, data: bytes) -> None:
+        self._metrics.control_bytes.labels("received").inc(len(data))
+        self._metrics.control_messages.labels("received").inc()
+        try:
+            message = decode_datagram(data)
+        except FrameError as error:
+            self._metrics.bad_messages.labels("datagram").inc()
+            logger.warning("peers: A datagram from {} is unreadable: {}", address, error)
+            return
+        if message.sender == self.vm and message.boot == self.boot:
+            return
+        for handler in self._handlers:
+            handler(address, message)
--- /dev/null
+++ b/idl/bergamotgate.thrift
@@ -0,0 +1,142 @@
+// Messages between the processes of bergamotgate.
+namespace py bergamotgate.wire.generated
+
+enum MemberState { ALIVE = 1, SUSPECT = 2, DEAD = 3, LEFT = 4 }
+
+struct MemberRecord {
+  1: required string vm
+  2: required string zone
+  3: required string peer
+  4: required string http
+  5: required i64 boot
+  6: required i32 incarnation
+  7: required MemberState state
+}
+
+struct RevisionMark { 1: required i64 revision, 2: required string digest }
+
+struct Strike {
+  1: required string fingerprint
+  2: required string run
+  3: required bool suspected
+  4: required i32 age_ms
+}
+
+struct Ping { 1: required i64 sequence, 2: required string target, 3: optional string relay_to }
+struct Ack { 1: required i64 sequence, 2: required string target, 3: required i64 boot }
+
+struct LeaseAsk { 1: required i64 sequence, 2: required string vm_list_digest, 3: required list<string> warm }
+struct LeaseGrant { 1: required i64 sequence, 2: required string vm_list_digest }
+
+struct Datagram {
+  1: required i16 version
+  2: required string sender
+  3: required i64 boot
+  4: optional Ping ping
+  5: optional Ack ack
+  6: optional LeaseAsk lease_ask
+  7: optional LeaseGrant lease_grant
+  8: optional list<MemberRecord> members
+  9: optional RevisionMark tables
+  10: optional RevisionMark vm_list
+  11: optional list<Strike> strikes
+  12: optional bool reply_wanted
+}
+
+enum Outcome {
+  ANSWERED = 1
+  NOT_RUN = 2
+  UNKNOWN = 3
+}
+
+enum Reason {
+  NONE = 0
+  EXPIRED_IN_QUEUE = 1
+  QUEUE_FULL = 2
+  NOT_OWNER = 3
+  OWNER_NOT_READY = 4
+  NO_FREE_SLOT = 5
+  SERVER_SHED = 6
+  SERVER_DRAINING = 7
+  SNAPSHOT_MISSING = 8
+  CONNECT_FAILED = 9
+  SERVER_OUT = 10
+  VIEW_UNCONFIRMED = 11
+  CANCELLED_IN_QUEUE = 12
+  UNKNOWN_SERVER = 13
+  TIMED_OUT = 20
+  CONNECTION_DIED = 21
+  WRONG_REPLY = 22
+  SNAPSHOT_MISMATCH = 23
+  CANCELLED_RUNNING = 24
+  LINK_LOST = 25
+  SERVER_ERROR = 26
+}
+
+struct SubRequest {
+  1: required i64 attempt
+  2: required string server
+  3: required i32 shard
+  4: required bool hedge
+}
+
+struct Batch {
+  1: required string pool
+  2: required string snapshot
+  3: required i32 budget_ms
+  4: required i32 patience_ms
+  5: required bool repeatable
+  6: required binary body
+  7: required list<SubRequest> items
+  8: optional string key
+}
+
+struct SubReply {
+  1: required i64 attempt
+  2: required Outcome outcome
+  3: required Reason reason
+  4: required i32 wait_ms
+  5: required i32 service_ms
+  6: optional binary body
+  7: optional i32 depth
+}
+
+struct Cancel { 1: required list<i64> attempts }
+
+struct TablesAsk { 1: required i64 call, 2: required i64 have_revision, 3: required string have_digest }
+struct EntryChange { 1: required string path, 2: optional string value }
+struct TablesReply {
+  1: required i64 call
+  2: required i64 revision
+  3: required string digest
+  4: optional binary whole
+  5: optional list<EntryChange> changes
+}
+
+struct VmListAsk { 1: required i64 call }
+struct VmListReply { 1: required i64 call, 2: required i64 revision, 3: required binary whole }
+
+struct KeeperCall {
+  1: required i64 call
+  2: required string route_path
+  3: required string key
+  4: required binary body
+  5: required i32 budget_ms
+  6: required i64 boot
+}
+struct KeeperReply { 1: required i64 call, 2: required i16 status, 3: required binary answer }
+
+struct Frame {
+  1: required i16 version
+  2: optional Batch batch
+  3: optional list<SubReply> replies
+  4: optional Cancel cancel
+  5: optional TablesAsk tables_ask
+  6: optional TablesReply tables_reply
+  7: optional VmListAsk vm_list_ask
+  8: optional VmListReply vm_list_reply
+  9: optional KeeperCall keeper_call
+  10: optional KeeperReply keeper_reply
+  11: optional i64 echo
+  12: optional i64 echo_reply
+}
