--- a/bergamotgate/admission/owner.py
+++ b/bergamotgate/admission/owner.py
@@ -168,7 +168,7 @@
 
     def _current_share(self, key: ServerKey) -> Share:
         """The share at the moment of use, also for work that was queued under an older view."""
-        owned = self._server_by_key[key] if key in self._server_by_key else None
+        owned = self._server_by_key.get(key)
         if owned is None or self._draining or not self._confirmation.is_fresh():
             return NO_SHARE
         if not self._tables.takes_work(owned.server):
--- a/bergamotgate/backend/curl.py
+++ b/bergamotgate/backend/curl.py
@@ -32,6 +32,18 @@
         return CurlConnection(address)
 
 
+class _ClosableClient(CurlAsyncHTTPClient):
+    """A client that may be closed while a transfer runs; libcurl sets timers while it closes."""
+
+    def _handle_timeout(self) -> None:
+        if self._multi is not None:
+            super()._handle_timeout()
+
+    def _set_timeout(self, msecs: int) -> None:
+        if not self._closed:
+            super()._set_timeout(msecs)
+
+
 class CurlConnection:
     """At most one TCP connection to one backend server.
 
@@ -41,7 +53,7 @@
 
     def __init__(self, address: str):
         self._address = address
-        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=1)
+        self._client = _ClosableClient(force_instance=True, max_clients=1)
         self._closed: asyncio.Future = asyncio.get_running_loop().create_future()
         self.used = False
 
--- a/bergamotgate/caller.py
+++ b/bergamotgate/caller.py
@@ -3,7 +3,7 @@
 import json
 import random
 import uuid
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 from urllib.parse import urlsplit
 
@@ -19,6 +19,16 @@
 MAX_SENDINGS = 4
 MAX_REDIRECTS = 3
 DEFAULT_DEADLINE_MS = 5000
+PASSING_REASONS = frozenset(
+    {
+        "draining",
+        "view_unconfirmed",
+        "no_configuration",
+        "token_expired",
+        "keeper_left",
+        "redirects",
+    }
+)
 HTTP_OK = 200
 HTTP_REDIRECT = 307
 
@@ -133,13 +143,18 @@
             NoAddress: None of the known VMs answers.
         """
         key: str | None = None
+        key_sendings = 0
         result = CallerResult(False, "unknown", "no_answer")
         for sending in range(1, MAX_SENDINGS + 1):
             await self._refresh()
             if once and key is None:
                 key = f"{self._token}/{uuid.uuid4()}" if self._token else None
+                key_sendings = 0
+            key_sendings += 1
             address = self._addresses[(sending - 1) % len(self._addresses)]
-            result = await self._send_to(address, method, path, body, deadline_ms, key, sending)
+            headers = _headers(deadline_ms, key, key_sendings)
+            result = await self._send_to(address, method, path, body, deadline_ms, headers)
+            result = replace(result, sendings=sending)
             if result.answered or not self._worth_sending_again(result):
                 return result
             if once and result.outcome == "not_run":
@@ -154,12 +169,8 @@
         path: str,
         body: bytes,
         deadline_ms: int,
-        key: str | None,
-        sending: int,
+        headers: dict[str, str],
     ) -> CallerResult:
-        headers = {"X-Deadline-Ms": str(deadline_ms), "Expect": ""}
-        if key is not None:
-            headers["X-Key"] = key
         url = f"http://{address}{path}"
         for _ in range(MAX_REDIRECTS):
             request = HTTPRequest(
@@ -175,24 +186,16 @@
             try:
                 response = await self._client.fetch(request, raise_error=False)
             except (HTTPError, OSError):
-                return CallerResult(False, "unknown", "no_answer", sendings=sending)
+                return CallerResult(False, "unknown", "no_answer")
             if response.code != HTTP_REDIRECT:
-                return _read(response, urlsplit(url).netloc, sending)
+                return _read(response, urlsplit(url).netloc)
             url = response.headers["Location"]
-        return CallerResult(False, "not_run", "redirects", sendings=sending)
+        return CallerResult(False, "not_run", "redirects")
 
     def _worth_sending_again(self, result: CallerResult) -> bool:
-        if result.reason in ("no_answer", "keeper_gone"):
-            return result.reason == "no_answer"
-        if result.outcome != "not_run":
-            return False
-        return result.reason in (
-            "draining",
-            "view_unconfirmed",
-            "no_configuration",
-            "token_expired",
-            "redirects",
-        )
+        if result.reason == "no_answer":
+            return True
+        return result.outcome == "not_run" and result.reason in PASSING_REASONS
 
     def _to_ask(self) -> list[str]:
         current = [a for a in self._addresses if a not in self._avoided]
@@ -216,13 +219,19 @@
         self._keep_until = float("-inf")
 
 
-def _read(response: HTTPResponse, vm: str, sending: int) -> CallerResult:
+def _headers(deadline_ms: int, key: str | None, key_sendings: int) -> dict[str, str]:
+    headers = {"X-Deadline-Ms": str(deadline_ms), "Expect": ""}
+    if key is not None:
+        headers["X-Key"] = key
+        headers["X-Sending"] = str(key_sendings)
+    return headers
+
+
+def _read(response: HTTPResponse, vm: str) -> CallerResult:
     try:
         fields = json.loads(response.body)
         if response.code != HTTP_OK:
-            return CallerResult(
-                False, fields["outcome"], fields["reason"], vm=vm, sendings=sending
-            )
+            return CallerResult(False, fields["outcome"], fields["reason"], vm=vm)
         coverage = fields["coverage"]
         return CallerResult(
             answered=True,
@@ -233,7 +242,6 @@
             missing=tuple((m["shard"], m["reason"]) for m in coverage["missing"]),
             body_by_shard=tuple((p["shard"], p["body"]) for p in fields["parts"]),
             vm=vm,
-            sendings=sending,
         )
     except (KeyError, TypeError, ValueError):
-        return CallerResult(False, "unknown", "unreadable_answer", vm=vm, sendings=sending)
+        return CallerResult(False, "unknown", "unreadable_answer", vm=vm)
--- a/bergamotgate/config/reader.py
+++ b/bergamotgate/config/reader.py
@@ -99,7 +99,9 @@
         canary=fields.choice("canary", Canary, Canary.SUSPECT),
     )
     if urgency.hedging and not urgency.repeatable:
-        fields.problems.add(f"{fields.place}.hedging", "false, as the class is not repeatable", True)
+        fields.problems.add(
+            f"{fields.place}.hedging", "false, as the class is not repeatable", True
+        )
     fields.finish()
     return urgency
 
--- a/bergamotgate/front/desk.py
+++ b/bergamotgate/front/desk.py
@@ -41,6 +41,7 @@
         body: Body.
         deadline_ms: Text of the deadline header; None when there is none.
         key: Text of the key header; None when there is none.
+        first_sending: Whether the caller never sent this key before, by its own word.
     """
 
     method: str
@@ -48,6 +49,7 @@
     body: bytes
     deadline_ms: str | None = None
     key: str | None = None
+    first_sending: bool = False
 
 
 class FrontDesk:
@@ -91,8 +93,10 @@
 
     def addresses(self, zone: str) -> CallerAnswer:
         """Answer the question which VMs to use."""
-        token = self._keeper.new_token() if self.takes_requests() else None
         usable = self._addresses.usable(zone or self._members.own.zone)
+        if not self.takes_requests() and usable:
+            return redirect(f"http://{usable[0].http}/-/addresses?zone={zone}")
+        token = self._keeper.new_token()
         fields = {
             "addresses": [{"vm": a.vm, "zone": a.zone, "http": a.http} for a in usable],
             "keep_s": KEEP_S,
@@ -148,9 +152,7 @@
             return route, render(NotRun(NotRunReason.BAD_DEADLINE))
         if len(request.body) > MAX_BODY_BYTES:
             return route, render(NotRun(NotRunReason.BODY_TOO_LARGE))
-        query = self._query(
-            route, request.body, started, started + deadline_s, request.key or ""
-        )
+        query = self._query(route, request.body, started, started + deadline_s, request.key or "")
         if route.urgency.repeatable:
             return route, await self._answer(query)
         return route, await self._answer_once(request, query)
@@ -198,7 +200,10 @@
         if self._keeper.keeps(key.token):
             return await self._keep(query, key)
         keeper = self._members.get(key.token.vm)
-        if keeper is None or keeper.boot != key.token.boot or keeper.vm == self._members.own.vm:
+        if keeper is None or keeper.boot != key.token.boot or not keeper.reachable:
+            # No copy of a first sending can be on its way, and this one goes no further.
+            if request.first_sending:
+                return render(NotRun(NotRunReason.KEEPER_LEFT))
             return render(Unknown(UnknownReason.KEEPER_GONE))
         return await self._relay(request, query, keeper)
 
--- a/bergamotgate/front/http.py
+++ b/bergamotgate/front/http.py
@@ -91,6 +91,7 @@
             body=self.request.body,
             deadline_ms=self.request.headers.get("X-Deadline-Ms"),
             key=self.request.headers.get("X-Key"),
+            first_sending=self.request.headers.get("X-Sending") == "1",
         )
         self.write_answer(await self._desk.handle(request))
 
--- a/bergamotgate/gather/gatherer.py
+++ b/bergamotgate/gather/gatherer.py
@@ -104,9 +104,7 @@
             and len(ruled_out) < len(pool.snapshots)
         )
 
-    def _choose_snapshot(
-        self, tables: Tables, pool: Pool, ruled_out: set[str]
-    ) -> Snapshot | None:
+    def _choose_snapshot(self, tables: Tables, pool: Pool, ruled_out: set[str]) -> Snapshot | None:
         """The first snapshot that can be served whole, else the one with most coverage."""
         best: Snapshot | None = None
         best_share = 0.0
--- a/bergamotgate/keeper/token.py
+++ b/bergamotgate/keeper/token.py
@@ -1,7 +1,7 @@
 """Tokens that name the one process that may run a request.
 
-A token is ``vm.boot.expiry``; a key is ``token/name``, where the caller chooses the name. The expiry
-is a time on the keeper's own clock, so no two clocks are ever compared.
+A token is ``vm.boot.expiry``; a key is ``token/name``, where the caller chooses the name. The
+expiry is a time on the keeper's own clock, so no two clocks are ever compared.
 """
 
 import re
--- a/bergamotgate/membership/members.py
+++ b/bergamotgate/membership/members.py
@@ -107,7 +107,9 @@
     def others(self, states: Iterable[MemberState]) -> list[Member]:
         """Members other than the process itself that are in one of the states."""
         wanted = frozenset(states)
-        return [m for m in self._member_by_vm.values() if m.state in wanted and m.vm != self._own_vm]
+        return [
+            m for m in self._member_by_vm.values() if m.state in wanted and m.vm != self._own_vm
+        ]
 
     def reachable(self, vm: str) -> bool:
         """Whether work may be sent to a VM."""
--- a/bergamotgate/membership/prober.py
+++ b/bergamotgate/membership/prober.py
@@ -95,9 +95,7 @@
     def join(self, addresses: list[str]) -> None:
         """Ask peers for all they know."""
         for address in addresses:
-            self._port.send(
-                address, members=[self._members.own.record()], reply_wanted=True
-            )
+            self._port.send(address, members=[self._members.own.record()], reply_wanted=True)
 
     def leave(self) -> None:
         """Tell everybody that this process has left."""
--- a/bergamotgate/node/node.py
+++ b/bergamotgate/node/node.py
@@ -301,5 +301,3 @@
         self.directory.use_list(vm_list)
         self.links.keep_only({vm.peer for vm in vm_list.vm_by_name.values()})
         self.prober.spread_marks()
-
-
--- a/bergamotgate/outcomes.py
+++ b/bergamotgate/outcomes.py
@@ -30,6 +30,7 @@
     KEY_REUSED = "key_reused"
     KEY_REQUIRED = "key_required"
     TOKEN_EXPIRED = "token_expired"
+    KEEPER_LEFT = "keeper_left"
     DEADLINE_TOO_NEAR = "deadline_too_near"
     OVERLOADED = "overloaded"
     VIEW_UNCONFIRMED = "view_unconfirmed"
--- a/bergamotgate/platform/follower.py
+++ b/bergamotgate/platform/follower.py
@@ -121,9 +121,7 @@
                 return True
         return await self.read_once()
 
-    async def _call(
-        self, answer: Awaitable[Published | None]
-    ) -> tuple[bool, Published | None]:
+    async def _call(self, answer: Awaitable[Published | None]) -> tuple[bool, Published | None]:
         try:
             value = await answer
         except PlatformUnavailable as error:
--- a/bergamotgate/standin/fleet.py
+++ b/bergamotgate/standin/fleet.py
@@ -83,9 +83,7 @@
         """Start a VM's process."""
         vm.starts += 1
         vm.context_name = f"{vm.name}#{vm.starts}"
-        vm.connector = MemoryConnector(
-            vm.peer, self.server_by_address, self.faults, self.clock
-        )
+        vm.connector = MemoryConnector(vm.peer, self.server_by_address, self.faults, self.clock)
         vm_context(vm.context_name).run(self._start_node, vm)
 
     def _start_node(self, vm: FleetVm) -> None:
@@ -183,9 +181,7 @@
 
     def _tables(self) -> PublishedTables:
         deployment = self.deployment
-        return PublishedTables(
-            self.revision, deployment.routes_text(), deployment.pools_text()
-        )
+        return PublishedTables(self.revision, deployment.routes_text(), deployment.pools_text())
 
     def _vm_list(self) -> PublishedVmList:
         vms = [
--- a/bergamotgate/standin/memory.py
+++ b/bergamotgate/standin/memory.py
@@ -284,9 +284,7 @@
 class MemoryConnection:
     """One connection to a stand-in server."""
 
-    def __init__(
-        self, server: StandinServer, way: _Way, clock: Clock, connector: MemoryConnector
-    ):
+    def __init__(self, server: StandinServer, way: _Way, clock: Clock, connector: MemoryConnector):
         self._server = server
         self._way = way
         self._clock = clock
--- a/bergamotgate/standin/server.py
+++ b/bergamotgate/standin/server.py
@@ -1,4 +1,4 @@
-"""Model of one backend server: slots, connections, cold start, snapshots, and what it really ran."""
+"""Model of one backend server: slots, connections, cold start, snapshots, and what really ran."""
 
 import asyncio
 import random
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,78 @@
+"""Shared fixtures: tests are functions, which unittest runs through ``load_tests``."""
+
+import asyncio
+import unittest
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from bergamotgate.standin.deployments import Deployment, PoolSpec, build_deployment
+from bergamotgate.standin.virtual import run_virtual
+
+check = unittest.TestCase()
+check.maxDiff = None
+
+
+class _NamedCase(unittest.FunctionTestCase):
+    """A test function under its own name."""
+
+    def id(self) -> str:
+        function = self._testFunc
+        return f"{function.__module__}.{function.__name__}"
+
+
+def cases(module: dict[str, Any]) -> Callable:
+    """The ``load_tests`` hook that turns a module's ``test_`` functions into tests."""
+
+    def load_tests(loader, standard, pattern):
+        functions = [value for name, value in module.items() if name.startswith("test_")]
+        return unittest.TestSuite(_NamedCase(function) for function in functions)
+
+    return load_tests
+
+
+def virtual(test: Callable[[], Coroutine[Any, Any, None]]) -> Callable[[], None]:
+    """Run a coroutine test on virtual time."""
+
+    def run() -> None:
+        run_virtual(test)
+
+    run.__name__ = test.__name__
+    run.__module__ = test.__module__
+    return run
+
+
+def real(test: Callable[[], Coroutine[Any, Any, None]]) -> Callable[[], None]:
+    """Run a coroutine test on a real event loop."""
+
+    def run() -> None:
+        asyncio.run(test())
+
+    run.__name__ = test.__name__
+    run.__module__ = test.__module__
+    return run
+
+
+def make_routes(**search: Any) -> dict:
+    """A routes table with a search over shards and a booking."""
+    urgent = {"deadline_ms": 400, "hedging": True, "repeatable": True} | search
+    return {
+        "classes": {
+            "urgent": urgent,
+            "patient": {"deadline_ms": 1500, "patience_ms": 300, "repeatable": True},
+            "once": {"deadline_ms": 1000, "repeatable": False},
+        },
+        "routes": {
+            "search": {"match": {"path": "/search"}, "class": "urgent", "pool": "catalogue"},
+            "slow": {"match": {"path": "/slow"}, "class": "patient", "pool": "catalogue"},
+            "book": {"match": {"path": "/book"}, "class": "once", "pool": "stock"},
+        },
+    }
+
+
+def make_deployment(shards: int = 6, **search: Any) -> Deployment:
+    """A small deployment: one sharded service and one without shards."""
+    specs = (
+        PoolSpec("catalogue", shards, 2, 2, 25, 0.006),
+        PoolSpec("stock", 0, 3, 6, 100, 0.001),
+    )
+    return build_deployment(make_routes(**search), specs)
--- /dev/null
+++ b/tests/test_tables.py
@@ -0,0 +1,153 @@
+import json
+from pathlib import Path
+
+from bergamotgate.config import read_tables
+from bergamotgate.config.delta import apply_changes, canonical, changes_between
+from bergamotgate.config.spread import TableStore
+from bergamotgate.errors import TablesRejected
+from bergamotgate.metrics import Metrics
+from bergamotgate.wire.generated.ttypes import TablesAsk
+from tests.support import cases, check, make_deployment
+
+EXAMPLES = Path(__file__).resolve().parents[1] / "examples"
+
+
+def problems_of(routes: str, pools: str) -> dict[str, str]:
+    try:
+        read_tables(1, routes, pools)
+    except TablesRejected as error:
+        return {
+            problem.place: f"{problem.expected} / {problem.found}" for problem in error.problems
+        }
+    return {}
+
+
+def changed(change) -> dict[str, str]:
+    deployment = make_deployment()
+    change(deployment)
+    return problems_of(deployment.routes_text(), deployment.pools_text())
+
+
+def test_examples_are_good():
+    for team in ("spokewise", "tuulevahetus"):
+        texts = [(EXAMPLES / team / f"{n}.jsonc").read_text() for n in ("routes", "pools")]
+        tables = read_tables(3, *texts)
+        check.assertEqual(4, len(tables.route_by_name))
+
+
+def test_dangling_pool_names_the_nearest():
+    found = changed(lambda d: d.routes["routes"]["search"].update(pool="katalogue"))
+    check.assertIn("nearest: catalogue", found["routes.search.pool"])
+
+
+def test_every_mistake_is_shown_at_once():
+    def change(deployment):
+        deployment.routes["classes"]["urgent"]["deadline_ms"] = "soon"
+        deployment.routes["routes"]["slow"]["clas"] = "patient"
+        deployment.pools["pools"]["stock"]["slots"] = 0
+
+    found = changed(change)
+    check.assertEqual(
+        {"classes.urgent.deadline_ms", "routes.slow.clas", "pools.stock.slots"}, set(found)
+    )
+    check.assertIn("nearest: class", found["routes.slow.clas"])
+
+
+def test_syntax_error_names_its_line_below_comments():
+    found = problems_of('{\n// one\n// two\n"classes" 1}', "{}")
+    check.assertEqual(["line 4 column 11"], list(found))
+
+
+def test_name_given_twice_is_a_mistake():
+    found = problems_of('{"classes": {}, "classes": {}, "routes": {}}', '{"pools": {}}')
+    check.assertIn("classes", found)
+
+
+def test_route_that_may_not_be_repeated_needs_a_pool_without_shards():
+    found = changed(lambda d: d.routes["routes"]["book"].update(pool="catalogue"))
+    check.assertIn("routes.book.pool", found)
+
+
+def test_two_servers_with_one_address_are_a_mistake():
+    def change(deployment):
+        servers = deployment.pools["pools"]["stock"]["servers"]
+        first, second = list(servers)[:2]
+        servers[second]["address"] = servers[first]["address"]
+
+    check.assertEqual(1, len(changed(change)))
+
+
+def test_snapshot_that_names_no_server_is_a_mistake():
+    def change(deployment):
+        deployment.pools["pools"]["catalogue"]["snapshots"][0]["shards"][2] = ["catalog-02a"]
+
+    found = changed(change)
+    check.assertIn("nearest", found["pools.catalogue.snapshots[0].shards[2]"])
+
+
+def test_text_over_a_megabyte_is_rejected():
+    check.assertIn("pools", problems_of("{}", " " * (1024 * 1024 + 1)))
+
+
+def test_changes_lead_from_one_text_to_the_other():
+    deployment = make_deployment()
+    old = canonical(deployment.routes, deployment.pools)
+    deployment.pools["zones"]["b"] = "out"
+    del deployment.routes["routes"]["slow"]
+    new = canonical(deployment.routes, deployment.pools)
+    changes = changes_between(old, new)
+    check.assertEqual(new, apply_changes(old, changes))
+    check.assertLess(len(changes), 6)
+
+
+def make_store(revision: int) -> TableStore:
+    store = TableStore(Metrics())
+    deployment = make_deployment()
+    deployment.pools["zones"]["b"] = "out" if revision % 2 else "in"
+    store.offer(revision, deployment.routes_text(), deployment.pools_text())
+    return store
+
+
+def test_lower_revision_changes_nothing():
+    store = make_store(5)
+    deployment = make_deployment()
+    accepted = store.offer(4, deployment.routes_text(), deployment.pools_text())
+    check.assertFalse(accepted)
+    check.assertEqual(5, store.revision)
+
+
+def test_rejected_revision_leaves_the_last_in_force():
+    store = make_store(5)
+    check.assertFalse(store.offer(6, "{", "{}"))
+    check.assertEqual(5, store.revision)
+    check.assertEqual(6, store.seen_revision)
+    check.assertIsNotNone(store.rejected)
+
+
+def test_store_sends_changes_to_a_peer_with_a_known_base():
+    store, peer = make_store(5), make_store(5)
+    deployment = make_deployment()
+    deployment.pools["zones"]["b"] = "in"
+    store.offer(6, deployment.routes_text(), deployment.pools_text())
+    reply = store.reply(peer.ask(1))
+    check.assertIsNone(reply.whole)
+    check.assertTrue(peer.take(reply))
+    check.assertEqual(store.tables.digest, peer.tables.digest)
+
+
+def test_store_sends_the_whole_to_a_peer_with_another_base():
+    reply = make_store(5).reply(TablesAsk(1, 4, "other"))
+    peer = TableStore(Metrics())
+    check.assertTrue(peer.take(reply))
+    check.assertEqual(5, peer.revision)
+
+
+def test_reply_with_a_wrong_digest_changes_nothing():
+    reply = make_store(5).reply(TablesAsk(1, -1, ""))
+    reply.whole = json.dumps({"routes": {}, "pools": {}}).encode()
+    peer = TableStore(Metrics())
+    check.assertFalse(peer.take(reply))
+    check.assertEqual(-1, peer.revision)
+
+
+load_tests = cases(globals())
