--- a/bergamotgate/backend/curl.py
+++ b/bergamotgate/backend/curl.py
@@ -78,6 +78,8 @@
             self._client.close()
 
     async def _fetch(self, request: BackendRequest) -> BackendReply:
+        if self._closed.done():
+            raise ConnectionRefused(self._address, "closed")
         timeout = max(request.budget_ms / 1000, MIN_TIMEOUT_S)
         message = HTTPRequest(
             f"http://{self._address}/run",
--- /dev/null
+++ b/bergamotgate/caller/__init__.py
@@ -0,0 +1,20 @@
+"""The callers' side of the interface, for programs that send requests."""
+
+from bergamotgate.caller.caller import Caller, CallerResult
+from bergamotgate.caller.transport import (
+    CallerReply,
+    CallerTransport,
+    HttpTransport,
+    NoAddress,
+    NoReply,
+)
+
+__all__ = [
+    "Caller",
+    "CallerReply",
+    "CallerResult",
+    "CallerTransport",
+    "HttpTransport",
+    "NoAddress",
+    "NoReply",
+]
--- a/bergamotgate/caller.py
+++ b/bergamotgate/caller/caller.py
@@ -7,16 +7,21 @@
 from typing import Any
 from urllib.parse import urlsplit
 
-from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
-
+from bergamotgate.caller.transport import (
+    CallerReply,
+    CallerTransport,
+    HttpTransport,
+    NoAddress,
+    NoReply,
+)
 from bergamotgate.clock import Clock, LoopClock
 
-__all__ = ["Caller", "CallerResult", "NoAddress"]
+__all__ = ["Caller", "CallerResult"]
 
 ADDRESS_TIMEOUT_S = 1.0
 ANSWER_MARGIN_S = 0.25
 MAX_SENDINGS = 4
+AVOID_S = 10.0
 MAX_REDIRECTS = 3
 DEFAULT_DEADLINE_MS = 5000
 PASSING_REASONS = frozenset(
@@ -67,16 +72,15 @@
         return self.answered and self.answered_shards == self.total_shards
 
 
-class NoAddress(Exception):
-    """No VM told its addresses.
-
-    Attributes:
-        tried: Addresses that were asked.
-    """
+@dataclass(frozen=True)
+class _Message:
+    """One request as it travels, whatever VM it goes to."""
 
-    def __init__(self, tried: list[str]):
-        super().__init__(f"no VM answers at {', '.join(tried)}")
-        self.tried = tried
+    method: str
+    path: str
+    body: bytes
+    headers: dict[str, str]
+    timeout_s: float
 
 
 class Caller:
@@ -86,18 +90,19 @@
         self,
         known: list[str],
         zone: str = "",
+        transport: CallerTransport | None = None,
         clock: Clock | None = None,
         rng: random.Random | None = None,
     ):
         self._known = list(known)
         self._zone = zone
+        self._transport = transport or HttpTransport()
         self._clock = clock or LoopClock()
         self._rng = rng or random.Random()
-        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=200)
         self._addresses: list[str] = []
         self._token: str | None = None
         self._keep_until = float("-inf")
-        self._avoided: set[str] = set()
+        self._avoided_until: dict[str, float] = {}
 
     async def addresses(self) -> dict[str, Any]:
         """Ask some VM which VMs to use.
@@ -109,16 +114,12 @@
         for address in self._to_ask():
             tried.append(address)
             try:
-                response = await self._client.fetch(
-                    f"http://{address}/-/addresses?zone={self._zone}",
-                    request_timeout=ADDRESS_TIMEOUT_S,
-                    connect_timeout=ADDRESS_TIMEOUT_S,
-                )
-                answer = json.loads(response.body)
-            except (HTTPError, OSError, ValueError):
+                reply, _ = await self._fetch(address, self._address_question())
+                answer = json.loads(reply.body)
+                if reply.status == HTTP_OK and answer["addresses"]:
+                    return answer
+            except (NoReply, ValueError, KeyError):
                 continue
-            if answer["addresses"]:
-                return answer
         raise NoAddress(tried)
 
     async def send(
@@ -148,13 +149,14 @@
         for sending in range(1, MAX_SENDINGS + 1):
             await self._refresh()
             if once and key is None:
-                key = f"{self._token}/{uuid.uuid4()}" if self._token else None
+                key = self._new_key()
                 key_sendings = 0
             key_sendings += 1
-            address = self._addresses[(sending - 1) % len(self._addresses)]
+            address = self._addresses[0]
             headers = _headers(deadline_ms, key, key_sendings)
-            result = await self._send_to(address, method, path, body, deadline_ms, headers)
-            result = replace(result, sendings=sending)
+            timeout_s = deadline_ms / 1000 + ANSWER_MARGIN_S
+            message = _Message(method, path, body, headers, timeout_s)
+            result = replace(await self._send_to(address, message), sendings=sending)
             if result.answered or not self._worth_sending_again(result):
                 return result
             if once and result.outcome == "not_run":
@@ -162,75 +164,79 @@
             self._forget(address)
         return result
 
-    async def _send_to(
-        self,
-        address: str,
-        method: str,
-        path: str,
-        body: bytes,
-        deadline_ms: int,
-        headers: dict[str, str],
-    ) -> CallerResult:
-        url = f"http://{address}{path}"
+    async def _send_to(self, address: str, message: _Message) -> CallerResult:
+        try:
+            reply, vm = await self._fetch(address, message)
+        except NoReply:
+            return CallerResult(False, "unknown", "no_answer")
+        if reply.status == HTTP_REDIRECT:
+            return CallerResult(False, "not_run", "redirects", vm=vm)
+        return _read(reply, vm)
+
+    async def _fetch(self, address: str, message: _Message) -> tuple[CallerReply, str]:
+        """Send a message and follow redirects; return the last reply and who gave it."""
+        path = message.path
         for _ in range(MAX_REDIRECTS):
-            request = HTTPRequest(
-                url,
-                method=method,
-                headers=headers,
-                body=body if method != "GET" else None,
-                request_timeout=deadline_ms / 1000 + ANSWER_MARGIN_S,
-                connect_timeout=ADDRESS_TIMEOUT_S,
-                follow_redirects=False,
-                allow_nonstandard_methods=True,
+            reply = await self._transport.fetch(
+                address, message.method, path, message.headers, message.body, message.timeout_s
             )
-            try:
-                response = await self._client.fetch(request, raise_error=False)
-            except (HTTPError, OSError):
-                return CallerResult(False, "unknown", "no_answer")
-            if response.code != HTTP_REDIRECT:
-                return _read(response, urlsplit(url).netloc)
-            url = response.headers["Location"]
-        return CallerResult(False, "not_run", "redirects")
+            if reply.status != HTTP_REDIRECT:
+                break
+            target = urlsplit(reply.headers["Location"])
+            address = target.netloc
+            path = target.path + (f"?{target.query}" if target.query else "")
+        return reply, address
+
+    def _address_question(self) -> _Message:
+        return _Message("GET", f"/-/addresses?zone={self._zone}", b"", {}, ADDRESS_TIMEOUT_S)
 
     def _worth_sending_again(self, result: CallerResult) -> bool:
         if result.reason == "no_answer":
             return True
         return result.outcome == "not_run" and result.reason in PASSING_REASONS
 
+    def _new_key(self) -> str | None:
+        """A key under the current token; None when no VM gave one."""
+        if self._token is None:
+            return None
+        return f"{self._token}/{uuid.UUID(int=self._rng.getrandbits(128))}"
+
     def _to_ask(self) -> list[str]:
-        current = [a for a in self._addresses if a not in self._avoided]
         known = list(self._known)
         self._rng.shuffle(known)
-        return current[:2] + known
+        asked = self._addresses[:2] + known
+        return sorted(asked, key=self._is_avoided)
+
+    def _is_avoided(self, address: str) -> bool:
+        return self._clock.now() < self._avoided_until.get(address, float("-inf"))
 
     async def _refresh(self) -> None:
         if self._clock.now() < self._keep_until and self._addresses:
             return
         answer = await self.addresses()
-        self._addresses = [entry["http"] for entry in answer["addresses"]]
+        listed = [entry["http"] for entry in answer["addresses"]]
+        self._addresses = sorted(listed, key=self._is_avoided)
         self._token = answer["token"]
         self._keep_until = self._clock.now() + answer["keep_s"]
-        self._avoided.clear()
 
     def _forget(self, address: str) -> None:
         """Use an address no longer that gave no answer, and ask again which to use."""
-        self._avoided.add(address)
-        self._addresses = [a for a in self._addresses if a != address] or self._addresses
+        self._avoided_until[address] = self._clock.now() + AVOID_S
         self._keep_until = float("-inf")
 
 
 def _headers(deadline_ms: int, key: str | None, key_sendings: int) -> dict[str, str]:
-    headers = {"X-Deadline-Ms": str(deadline_ms), "Expect": ""}
+    headers = {"X-Deadline-Ms": str(deadline_ms)}
     if key is not None:
         headers["X-Key"] = key
         headers["X-Sending"] = str(key_sendings)
     return headers
 
 
-def _read(response: HTTPResponse, vm: str) -> CallerResult:
+def _read(reply: CallerReply, vm: str) -> CallerResult:
     try:
-        fields = json.loads(response.body)
-        if response.code != HTTP_OK:
+        fields = json.loads(reply.body)
+        if reply.status != HTTP_OK:
             return CallerResult(False, fields["outcome"], fields["reason"], vm=vm)
         coverage = fields["coverage"]
         return CallerResult(
--- /dev/null
+++ b/bergamotgate/caller/transport.py
@@ -0,0 +1,106 @@
+"""How a caller's messages travel to a VM."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPError, HTTPRequest
+
+from bergamotgate.errors import BergamotgateError
+
+__all__ = ["CallerReply", "CallerTransport", "HttpTransport", "NoAddress", "NoReply"]
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_CONNECTIONS = 200
+
+
+class NoReply(BergamotgateError):
+    """A VM gave no reply; whether the request ran is unknown.
+
+    Attributes:
+        address: ``ip:port`` that was asked.
+    """
+
+    def __init__(self, address: str, cause: object = ""):
+        super().__init__(f"no reply from {address} {cause}".rstrip())
+        self.address = address
+
+
+class NoAddress(BergamotgateError):
+    """No VM told its addresses.
+
+    Attributes:
+        tried: Addresses that were asked.
+    """
+
+    def __init__(self, tried: list[str]):
+        super().__init__(f"no VM answers at {', '.join(tried)}")
+        self.tried = tried
+
+
+@dataclass(frozen=True)
+class CallerReply:
+    """A VM's reply.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers.
+        body: JSON text.
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class CallerTransport(Protocol):
+    """Sends one message and waits for its reply."""
+
+    async def fetch(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        timeout_s: float,
+    ) -> CallerReply:
+        """Send a message.
+
+        Raises:
+            NoReply: No reply came in time.
+        """
+
+
+class HttpTransport:
+    """Messages over HTTP."""
+
+    def __init__(self) -> None:
+        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CONNECTIONS)
+
+    async def fetch(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        timeout_s: float,
+    ) -> CallerReply:
+        """Send a message over HTTP."""
+        request = HTTPRequest(
+            f"http://{address}{path}",
+            method=method,
+            headers=headers | {"Expect": ""},
+            body=body if method != "GET" else None,
+            request_timeout=timeout_s,
+            connect_timeout=min(timeout_s, CONNECT_TIMEOUT_S),
+            follow_redirects=False,
+            allow_nonstandard_methods=True,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except (HTTPError, OSError) as error:
+            raise NoReply(address, error) from error
+        return CallerReply(response.code, response.headers, response.body)
--- /dev/null
+++ b/bergamotgate/standin/__main__.py
@@ -0,0 +1,43 @@
+"""Plays scenarios: ``python -m bergamotgate.standin scenarios/calm.txt --seed 1``."""
+
+import sys
+import time
+from pathlib import Path
+
+import click
+from loguru import logger
+
+from bergamotgate.standin.scenario import ScenarioError, read_scenario
+from bergamotgate.standin.stage import play
+
+EXIT_BROKEN = 1
+EXIT_UNREADABLE = 2
+
+
+@click.command()
+@click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path, exists=True))
+@click.option("--seed", default=1, show_default=True, help="First seed.")
+@click.option("--runs", default=1, show_default=True, help="Number of seeds to play.")
+@click.option("--log", is_flag=True, help="Show the nodes' logs.")
+def main(files: tuple[Path, ...], seed: int, runs: int, log: bool) -> None:
+    """Play scenario FILES on virtual time; exit with 1 when anything did not hold."""
+    if not log:
+        logger.remove()
+    bad = False
+    for path in files:
+        try:
+            scenario = read_scenario(path.read_text())
+        except ScenarioError as error:
+            click.echo(f"{path}: {error}", err=True)
+            sys.exit(EXIT_UNREADABLE)
+        for number in range(seed, seed + runs):
+            started = time.monotonic()
+            report = play(scenario, number)
+            word = "good" if report.good else "BAD"
+            seconds = time.monotonic() - started
+            click.echo(f"{path.stem} seed {number}: {word} ({seconds:.1f} s)\n{report.text()}")
+            bad = bad or not report.good
+    sys.exit(EXIT_BROKEN if bad else 0)
+
+
+main()
--- a/bergamotgate/standin/fleet.py
+++ b/bergamotgate/standin/fleet.py
@@ -150,6 +150,11 @@
             return None
         return await self._in_vm(vm, vm.node.desk.handle(request))
 
+    def addresses_of(self, vm: FleetVm, zone: str) -> dict | None:
+        """What a VM says when it is asked for addresses; None when it sends callers elsewhere."""
+        answer = vm_context(vm.context_name).run(vm.node.desk.addresses, zone)
+        return json.loads(answer.body) if answer.status == 200 else None
+
     async def _in_vm(self, vm: FleetVm, coroutine) -> object:
         return await vm_context(vm.context_name).run(self.loop.create_task, coroutine)
 
--- a/bergamotgate/standin/memory.py
+++ b/bergamotgate/standin/memory.py
@@ -36,6 +36,7 @@
         self._same_s = same_s
         self._other_s = other_s
         self._side_by_address: dict[str, int] = {}
+        self._cut_off: set[str] = set()
         self.down: set[str] = set()
         self.generation = 0
         self.loss: Callable[[], bool] = lambda: False
@@ -46,9 +47,14 @@
             address: number for number, side in enumerate(sides) for address in side
         }
 
+    def cut_off_peers(self, addresses: set[str]) -> None:
+        """Cut some VMs off from the other VMs; backend servers stay within their reach."""
+        self._cut_off = set(addresses)
+
     def heal(self) -> None:
         """End a split."""
         self._side_by_address = {}
+        self._cut_off = set()
 
     def silence(self) -> None:
         """Make every connection that is open now silent for good."""
@@ -60,6 +66,10 @@
             return False
         return self._side_by_address.get(one) == self._side_by_address.get(other)
 
+    def reaches_peer(self, one: str, other: str) -> bool:
+        """Whether messages pass between two VMs."""
+        return self.reaches(one, other) and not ({one, other} & self._cut_off)
+
     def delay_s(self, one: str, other: str) -> float:
         """Time of a message between two addresses."""
         same = self._zone_by_address.get(one) == self._zone_by_address.get(other)
@@ -108,7 +118,7 @@
 
     def deliver(self, source: str, target: str, data: bytes) -> None:
         """Carry a datagram."""
-        if not self.faults.reaches(source, target) or self.faults.loss():
+        if not self.faults.reaches_peer(source, target) or self.faults.loss():
             return
         loop = asyncio.get_running_loop()
         delay_s = self.faults.delay_s(source, target)
@@ -118,7 +128,7 @@
 
     async def connect(self, source: str, target: str) -> "_MemoryStream":
         """Open a stream."""
-        if not self.faults.reaches(source, target):
+        if not self.faults.reaches_peer(source, target):
             await asyncio.sleep(CONNECT_TIMEOUT_S)
             raise LinkLost(target)
         await asyncio.sleep(2 * self.faults.delay_s(source, target))
@@ -233,7 +243,7 @@
 
     def _passes(self) -> bool:
         fresh = self._generation == self._faults.generation
-        return fresh and self._faults.reaches(self._own, self.peer)
+        return fresh and self._faults.reaches_peer(self._own, self.peer)
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/bergamotgate/standin/scenario.py
@@ -0,0 +1,186 @@
+"""Scenarios: a small language for a fleet, its load, its faults, and what must hold."""
+
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from lark import Lark, Token, Transformer
+from lark.exceptions import LarkError
+
+from bergamotgate.errors import BergamotgateError
+from bergamotgate.standin.deployments import PoolSpec
+
+__all__ = ["Action", "Expectation", "Load", "Scenario", "ScenarioError", "read_scenario"]
+
+GRAMMAR = Path(__file__).with_name("scenario.lark")
+SHARDED_CONNECT_S = 0.006
+SMALL_CONNECT_S = 0.001
+
+
+class ScenarioError(BergamotgateError):
+    """A scenario cannot be read.
+
+    Attributes:
+        cause: Where and why.
+    """
+
+    def __init__(self, cause: object):
+        super().__init__(f"unreadable scenario: {cause}")
+        self.cause = cause
+
+
+@dataclass(frozen=True)
+class Load:
+    """Requests at a steady rate.
+
+    Attributes:
+        route: Name of the route.
+        per_second: Rate.
+        start: First second.
+        end: Last second.
+    """
+
+    route: str
+    per_second: float
+    start: float
+    end: float
+
+
+@dataclass(frozen=True)
+class Action:
+    """Something that happens at a time.
+
+    Attributes:
+        at: When, in seconds after the start of the load.
+        kind: Name of the method that does it.
+        arguments: What it acts on.
+    """
+
+    at: float
+    kind: str
+    arguments: tuple
+
+
+@dataclass(frozen=True)
+class Expectation:
+    """What a measured quantity must be."""
+
+    metric: str
+    comparison: str
+    bound: float
+
+    def holds(self, value: float) -> bool:
+        """Whether a value is within the bound."""
+        if self.comparison == "<=":
+            return value <= self.bound
+        if self.comparison == ">=":
+            return value >= self.bound
+        return value == self.bound
+
+    def __str__(self) -> str:
+        return f"{self.metric} {self.comparison} {self.bound:g}"
+
+
+@dataclass
+class Scenario:
+    """A whole scenario."""
+
+    vms: int = 6
+    pools: list[PoolSpec] = field(default_factory=list)
+    class_options: dict[str, dict[str, Any]] = field(default_factory=dict)
+    loads: list[Load] = field(default_factory=list)
+    actions: list[Action] = field(default_factory=list)
+    expectations: list[Expectation] = field(default_factory=list)
+
+    @property
+    def end(self) -> float:
+        """When the last load ends and the last action happened, in seconds."""
+        ends = [load.end for load in self.loads] + [action.at for action in self.actions]
+        return max(ends, default=0.0)
+
+
+def read_scenario(text: str) -> Scenario:
+    """Read a scenario.
+
+    Raises:
+        ScenarioError: The text does not follow the grammar.
+    """
+    parser = Lark(GRAMMAR.read_text(), parser="lalr", maybe_placeholders=True)
+    try:
+        tree = parser.parse(text.strip() + "\n")
+        return _Builder().transform(tree)
+    except LarkError as error:
+        raise ScenarioError(error) from error
+
+
+def _plain(value: Any) -> Any:
+    if isinstance(value, Token):
+        return int(value) if value.type == "INT" else str(value)
+    return value
+
+
+class _Builder(Transformer):
+    """Turns the parse tree into a scenario."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._scenario = Scenario()
+
+    def start(self, children: list) -> Scenario:
+        return self._scenario
+
+    def fleet(self, children: list) -> None:
+        self._scenario.vms = int(children[0])
+
+    def pool(self, children: list) -> None:
+        name, shards, replicas, slots, connections, snapshots = children
+        sharded = int(shards) > 0
+        self._scenario.pools.append(
+            PoolSpec(
+                str(name),
+                int(shards),
+                int(replicas),
+                int(slots),
+                int(connections),
+                SHARDED_CONNECT_S if sharded else SMALL_CONNECT_S,
+                snapshots or ("s1",),
+            )
+        )
+
+    def snapshots(self, children: list) -> tuple[str, ...]:
+        return tuple(map(str, children))
+
+    def class_option(self, children: list) -> None:
+        options = self._scenario.class_options.setdefault(str(children[0]), {})
+        options.update(dict(children[1:]))
+
+    def option(self, children: list) -> tuple[str, Any]:
+        return str(children[0]), children[1]
+
+    def number(self, children: list) -> float | int:
+        number = float(children[0])
+        return int(number) if number.is_integer() else number
+
+    def word(self, children: list) -> str | bool:
+        return {"yes": True, "no": False}.get(str(children[0]), str(children[0]))
+
+    def load(self, children: list) -> None:
+        name, rate, start, end = children
+        self._scenario.loads.append(Load(str(name), float(rate), start, end))
+
+    def event(self, children: list) -> None:
+        at, (kind, arguments) = children
+        self._scenario.actions.append(Action(at, kind, arguments))
+
+    def expect(self, children: list) -> None:
+        metric, comparison, bound = children
+        self._scenario.expectations.append(Expectation(str(metric), str(comparison), float(bound)))
+
+    def zones(self, children: list) -> tuple[str, ...]:
+        return tuple(map(str, children))
+
+    def time(self, children: list) -> float:
+        return float(children[0])
+
+    def __default__(self, data: str, children: list, meta: Any) -> tuple[str, tuple]:
+        return str(data), tuple(map(_plain, children))
--- a/bergamotgate/standin/server.py
+++ b/bergamotgate/standin/server.py
@@ -4,16 +4,22 @@
 import random
 from collections import Counter
 from dataclasses import dataclass, field
+from zlib import crc32
 
 from bergamotgate.backend.connection import BackendReply, BackendRequest, NotRunWord
 from bergamotgate.clock import Clock
 
-__all__ = ["RunRecord", "ServerBehaviour", "ServerLimits", "StandinServer"]
+__all__ = ["RunRecord", "ServerBehaviour", "ServerLimits", "StandinServer", "answer_body"]
 
 CRASH_MARK = b"crash-the-server"
 COLD_NOTICE_S = 0.1
 
 
+def answer_body(snapshot: str, shard: int, body: bytes) -> str:
+    """What a server answers; it tells whose request, which shard and which version it was."""
+    return f"{snapshot}/{shard}/{crc32(body):08x}"
+
+
 @dataclass(frozen=True)
 class ServerLimits:
     """What a server bears.
@@ -229,7 +235,7 @@
         return seconds
 
     def _answer(self, request: BackendRequest) -> bytes:
-        return f"{request.snapshot}/{request.shard}/{len(request.body)}".encode()
+        return answer_body(request.snapshot, request.shard, request.body).encode()
 
     def _reply(
         self, request: BackendRequest, body: bytes, not_run: NotRunWord | None
--- /dev/null
+++ b/bergamotgate/standin/stage.py
@@ -0,0 +1,508 @@
+"""Plays a scenario on a virtual fleet and reports what callers, servers and platform saw."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bergamotgate.caller import Caller, CallerReply, CallerResult, NoAddress, NoReply
+from bergamotgate.clock import LoopClock
+from bergamotgate.front.desk import CallerRequest
+from bergamotgate.standin.deployments import Deployment, build_deployment
+from bergamotgate.standin.fleet import Fleet, FleetVm
+from bergamotgate.standin.promises import (
+    Evidence,
+    NoWorkSpan,
+    RequestRecord,
+    Violation,
+    check_promises,
+)
+from bergamotgate.standin.scenario import Scenario
+from bergamotgate.standin.server import CRASH_MARK, StandinServer
+from bergamotgate.standin.virtual import run_virtual
+
+__all__ = ["Report", "play"]
+
+CALLER_WAY_S = 0.001
+START_S = 6.0
+AFTER_S = 3.0
+NO_WORK_AFTER_S = 5.0
+WATCH_EVERY_S = 0.05
+ANSWER_TIMEOUT_MS = 2000
+CALLERS_PER_ZONE = 2
+LOST_REASONS = ("no_answer",)
+DEFAULT_ROUTES = {
+    "classes": {
+        "urgent": {"deadline_ms": 400, "hedging": True, "repeatable": True},
+        "patient": {"deadline_ms": 1500, "patience_ms": 300, "repeatable": True},
+        "once": {"deadline_ms": 1000, "repeatable": False},
+    },
+    "routes": {
+        "search": {"match": {"path": "/search"}, "class": "urgent", "pool": "catalogue"},
+        "browse": {"match": {"path": "/browse"}, "class": "patient", "pool": "catalogue"},
+        "book": {"match": {"path": "/book"}, "class": "once", "pool": "stock"},
+    },
+}
+
+
+@dataclass
+class Report:
+    """What a scenario showed.
+
+    Attributes:
+        violations: Promises that broke.
+        measures: Measured quantities by name.
+        failed: Expectations that did not hold, with the measured value.
+        records: All requests.
+    """
+
+    violations: list[Violation]
+    measures: dict[str, float]
+    failed: list[str]
+    records: list[RequestRecord] = field(repr=False, default_factory=list)
+
+    @property
+    def good(self) -> bool:
+        """Whether everything held."""
+        return not self.violations and not self.failed
+
+    def text(self) -> str:
+        """Everything that did not hold, with the measures and the first request concerned."""
+        lines = [f"BROKEN {violation}" for violation in self.violations[:10]]
+        lines += [f"MISSED {failed}" for failed in self.failed]
+        lines.append(" ".join(f"{name}={value:.4g}" for name, value in self.measures.items()))
+        concerned = {violation.request for violation in self.violations[:3]}
+        lines += [str(record) for record in self.records if record.number in concerned]
+        return "\n".join(lines)
+
+
+def play(scenario: Scenario, seed: int, sabotage: Callable[[Fleet], None] | None = None) -> Report:
+    """Play a scenario on virtual time.
+
+    Args:
+        scenario: What happens.
+        seed: Seed of all randomness.
+        sabotage: Puts deliberate faults into the stand-ins, to show that checks see them.
+    """
+    return run_virtual(lambda: _Stage(scenario, seed, sabotage).run())
+
+
+class _FleetTransport:
+    """Carries callers' messages into a virtual fleet."""
+
+    def __init__(self, fleet: Fleet):
+        self._fleet = fleet
+        self._vm_by_http = {vm.http: vm for vm in fleet.vms}
+
+    async def fetch(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        timeout_s: float,
+    ) -> CallerReply:
+        vm = self._vm_by_http[address]
+        await asyncio.sleep(CALLER_WAY_S)
+        if vm.node is None:
+            raise NoReply(address)
+        request = CallerRequest(
+            method,
+            path,
+            body,
+            headers.get("X-Deadline-Ms"),
+            headers.get("X-Key"),
+            headers.get("X-Sending") == "1",
+        )
+        asked = asyncio.ensure_future(self._fleet.ask(vm, request))
+        await asyncio.wait({asked}, timeout=timeout_s)
+        if not asked.done() or asked.cancelled():
+            raise NoReply(address)
+        answer = asked.result()
+        if answer is None:
+            raise NoReply(address)
+        await asyncio.sleep(CALLER_WAY_S)
+        return CallerReply(answer.status, answer.headers, answer.body)
+
+
+class _Stage:
+    """One run of a scenario."""
+
+    def __init__(self, scenario: Scenario, seed: int, sabotage: Callable[[Fleet], None] | None):
+        self._scenario = scenario
+        self._rng = random.Random(seed)
+        self._deployment = _deployment(scenario)
+        self._fleet = Fleet(self._deployment, scenario.vms, seed)
+        self._sabotage = sabotage
+        self._records: list[RequestRecord] = []
+        self._no_work: list[NoWorkSpan] = []
+        self._drains: list[asyncio.Task] = []
+        self._number = 0
+        self._zero = 0.0
+        self._first_requests = 0
+        self._watch = _Watch(self._fleet)
+
+    async def run(self) -> Report:
+        """Play everything and judge it."""
+        await self._fleet.start(START_S)
+        if self._sabotage is not None:
+            self._sabotage(self._fleet)
+        self._zero = self._now()
+        watch = asyncio.ensure_future(self._watch.run())
+        loads = [asyncio.ensure_future(self._load(load)) for load in self._scenario.loads]
+        events = [asyncio.ensure_future(self._act(action)) for action in self._scenario.actions]
+        await asyncio.gather(*events, *loads)
+        await asyncio.sleep(AFTER_S)
+        watch.cancel()
+        return self._report()
+
+    async def _load(self, load) -> None:
+        await asyncio.sleep(load.start)
+        callers = self._callers()
+        tasks = []
+        for _ in range(round((load.end - load.start) * load.per_second)):
+            self._number += 1
+            caller = self._rng.choice(callers)
+            body = f"{load.route}-{self._number}".encode()
+            sending = self._send(caller, load.route, body, self._number)
+            tasks.append(asyncio.ensure_future(sending))
+            await asyncio.sleep(1 / load.per_second)
+        await asyncio.gather(*tasks)
+
+    def _callers(self) -> list[Caller]:
+        transport = _FleetTransport(self._fleet)
+        known = [vm.http for vm in self._fleet.vms]
+        return [
+            _FleetCaller(known, zone, transport, LoopClock(), self._rng)
+            for zone in self._deployment.zones
+            for _ in range(CALLERS_PER_ZONE)
+        ]
+
+    async def _send(self, caller: Caller, route: str, body: bytes, number: int) -> None:
+        routes = self._deployment.routes
+        entry = routes["routes"][route]
+        urgency = routes["classes"][entry["class"]]
+        once = not urgency["repeatable"]
+        sent_at = self._now()
+        try:
+            result = await caller.send(
+                "POST", entry["match"]["path"], body, urgency["deadline_ms"], once
+            )
+        except NoAddress:
+            result = CallerResult(False, "unknown", "no_answer")
+        self._records.append(RequestRecord(number, route, body, once, sent_at, self._now(), result))
+
+    async def _act(self, action) -> None:
+        await asyncio.sleep(action.at)
+        outcome = getattr(self, f"_do_{action.kind}")(*action.arguments)
+        if asyncio.iscoroutine(outcome):
+            await outcome
+
+    def _do_zone_out(self, zone: str) -> None:
+        self._deployment.pools["zones"][zone] = "out"
+        self._publish()
+        self._forbid("zone out", self._servers_in(zone))
+
+    def _do_zone_back(self, zone: str) -> None:
+        self._deployment.pools["zones"][zone] = "in"
+        self._allow(self._servers_in(zone))
+        self._publish()
+
+    def _do_drain_server(self, name: str) -> None:
+        for pool in self._deployment.pools["pools"].values():
+            if name in pool["servers"]:
+                pool["servers"][name]["standing"] = "leaving"
+        self._publish()
+        self._forbid("server leaving", {name})
+
+    def _do_kill(self, number: int) -> None:
+        self._fleet.kill_vm(self._vm(number))
+
+    def _do_start_vm(self, number: int) -> None:
+        vm = self._vm(number)
+        if vm.node is not None:
+            self._fleet.kill_vm(vm)
+        self._fleet.listed[vm.name] = "live"
+        self._fleet.publish_list()
+        self._fleet.start_vm(vm)
+
+    def _do_unlist(self, number: int) -> None:
+        self._fleet.listed.pop(self._vm(number).name, None)
+        self._fleet.publish_list()
+
+    def _do_drain(self, number: int) -> None:
+        vm = self._vm(number)
+        self._drains.append(asyncio.ensure_future(self._fleet.drain_vm(vm)))
+
+    async def _do_replace_all(self) -> None:
+        for vm in self._fleet.vms:
+            if vm.node is not None:
+                self._fleet.kill_vm(vm)
+        await asyncio.sleep(1.0)
+        for vm in self._fleet.vms:
+            self._fleet.start_vm(vm)
+
+    async def _do_pause(self, number: int, seconds: float) -> None:
+        vm = self._vm(number)
+        self._fleet.stop_vm(vm)
+        await asyncio.sleep(seconds)
+        self._fleet.continue_vm(vm)
+
+    def _do_split(self, *sides: tuple[str, ...]) -> None:
+        by_zone = self._fleet.faults._zone_by_address
+        self._fleet.faults.split(
+            [[address for address, zone in by_zone.items() if zone in side] for side in sides]
+        )
+
+    def _do_cut_off(self, number: int) -> None:
+        """Split one VM from the other VMs; callers and servers still reach everybody."""
+        self._fleet.faults.cut_off_peers({self._vm(number).peer})
+
+    def _do_heal(self) -> None:
+        self._fleet.faults.heal()
+
+    def _do_silence(self) -> None:
+        self._fleet.faults.silence()
+
+    def _do_service(self, state: str) -> None:
+        for service in (self._fleet.configuration, self._fleet.vm_list):
+            service.down = state == "down"
+            if state == "stale":
+                service.stale = True
+            elif state == "fresh":
+                service.refresh()
+
+    def _do_turn_cold(self, name: str) -> None:
+        self._server(name).turn_cold()
+
+    def _do_crash(self, name: str) -> None:
+        self._server(name).crash()
+
+    def _do_restart(self, name: str) -> None:
+        self._server(name).restart()
+
+    def _do_slow(self, name: str, factor: str) -> None:
+        self._server(name).behaviour.slow_factor = float(factor)
+
+    def _do_stall(self, percent: str, seconds: float) -> None:
+        for server in self._fleet.server_by_name.values():
+            server.behaviour.stall_share = float(percent) / 100
+            server.behaviour.stall_s = seconds
+
+    def _do_snapshot_build(self, snapshot: str, shards: int, pool_name: str) -> None:
+        """Build a version with another number of shards on the same servers."""
+        pool = self._deployment.pools["pools"][pool_name]
+        names = sorted(pool["servers"])
+        rows = [
+            [names[(2 * shard + copy) % len(names)] for copy in range(2)] for shard in range(shards)
+        ]
+        pool["snapshots"].append({"name": snapshot, "shards": rows})
+        for name in names:
+            self._server(name).snapshots.add(snapshot)
+        self._publish()
+
+    def _do_snapshot_first(self, snapshot: str, pool_name: str) -> None:
+        pool = self._deployment.pools["pools"][pool_name]
+        pool["snapshots"].sort(key=lambda entry: entry["name"] != snapshot)
+        self._publish()
+
+    def _do_garbage(self) -> None:
+        self._fleet.revision += 1
+        good = self._fleet.configuration
+        tables = self._fleet._tables()
+        good.publish(type(tables)(tables.revision, "{ garbage", tables.pools))
+
+    async def _do_crashing(self, route: str, times: int) -> None:
+        """One caller sends a request that crashes servers again and again."""
+        caller = self._callers()[0]
+        for _ in range(times):
+            self._number += 1
+            await self._send(caller, route, CRASH_MARK, self._number)
+            await asyncio.sleep(0.3)
+            for server in self._fleet.server_by_name.values():
+                if not server.up:
+                    server.restart()
+
+    def _do_lose(self, percent: str) -> None:
+        share = float(percent) / 100
+        rng = random.Random(self._rng.random())
+        self._fleet.faults.loss = lambda: rng.random() < share
+
+    def _publish(self) -> None:
+        self._fleet.publish_tables()
+        self._watch.published(self._fleet.revision)
+
+    def _forbid(self, promise: str, servers: set[str]) -> None:
+        start = self._now() + NO_WORK_AFTER_S
+        self._no_work.append(NoWorkSpan(promise, frozenset(servers), start, float("inf")))
+
+    def _allow(self, servers: set[str]) -> None:
+        """End the times in which these servers should get no new work."""
+        now = self._now()
+        self._no_work = [
+            (
+                NoWorkSpan(span.promise, span.servers, span.start, now)
+                if span.servers & servers and span.end > now
+                else span
+            )
+            for span in self._no_work
+        ]
+
+    def _servers_in(self, zone: str) -> set[str]:
+        return {
+            name
+            for pool in self._deployment.pools["pools"].values()
+            for name, server in pool["servers"].items()
+            if server["zone"] == zone
+        }
+
+    def _server(self, name: str) -> StandinServer:
+        return self._fleet.server_by_name[name]
+
+    def _vm(self, number: int) -> FleetVm:
+        return self._fleet.vms[int(number)]
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _report(self) -> Report:
+        servers = tuple(self._fleet.server_by_name.values())
+        evidence = Evidence(
+            servers, tuple(self._records), tuple(self._no_work), self._shard_counts()
+        )
+        violations = check_promises(evidence) + self._watch.violations
+        measures = self._measures(servers)
+        failed = [
+            f"{expectation}, measured {measures[expectation.metric]:.4g}"
+            for expectation in self._scenario.expectations
+            if not expectation.holds(measures[expectation.metric])
+        ]
+        return Report(violations, measures, failed, self._records)
+
+    def _shard_counts(self) -> dict[str, int]:
+        counts = {}
+        for route, entry in self._deployment.routes["routes"].items():
+            pool = self._deployment.pools["pools"][entry["pool"]]
+            for snapshot in pool.get("snapshots", []):
+                counts[f"{route}/{snapshot['name']}"] = len(snapshot["shards"])
+        return counts
+
+    def _measures(self, servers: tuple[StandinServer, ...]) -> dict[str, float]:
+        records = [r for r in self._records if CRASH_MARK not in r.body]
+        total = max(1, len(records))
+        latencies = sorted(r.done_at - r.sent_at for r in records) or [0.0]
+        results = [r.result for r in records]
+        runs = sum(len(server.observed.runs) for server in servers)
+        needed = sum(r.total_shards for r in results if r.answered) or 1
+        return {
+            "whole": sum(r.whole for r in results) / total,
+            "answered": sum(r.answered for r in results) / total,
+            "lost": sum(r.reason in LOST_REASONS for r in results) / total,
+            "unknown": sum(r.outcome == "unknown" for r in results) / total,
+            "refused": sum(r.outcome == "not_run" for r in results) / total,
+            "p50_ms": 1000 * latencies[len(latencies) // 2],
+            "p99_ms": 1000 * latencies[int(len(latencies) * 0.99)],
+            "extra": max(0.0, runs / needed - 1),
+            "agree_s": self._watch.longest_disagreement_s,
+            "in_force_s": self._watch.slowest_in_force_s,
+            "crashes": sum(server.observed.crashes for server in servers),
+            "drain_cut": sum(not d.result() for d in self._drains if d.done()),
+        }
+
+
+class _FleetCaller(Caller):
+    """A caller in a virtual fleet, where the question for addresses needs no HTTP."""
+
+    async def addresses(self) -> dict:
+        """Ask a VM of the fleet."""
+        fleet = self._transport._fleet
+        for address in self._to_ask():
+            vm = self._transport._vm_by_http[address]
+            await asyncio.sleep(CALLER_WAY_S)
+            if vm.node is None or vm.context_name in fleet.loop.stopped:
+                continue
+            answer = fleet.addresses_of(vm, self._zone)
+            if answer is not None and answer["addresses"]:
+                await asyncio.sleep(CALLER_WAY_S)
+                return answer
+        raise NoAddress(self._known)
+
+
+class _Watch:
+    """Looks at the VMs from outside: revisions in force, reverts, and how long views differ."""
+
+    def __init__(self, fleet: Fleet):
+        self._fleet = fleet
+        self._seen_by_process: dict[str, int] = {}
+        self._published_at: dict[int, float] = {}
+        self._disagree_since: float | None = None
+        self.violations: list[Violation] = []
+        self.longest_disagreement_s = 0.0
+        self.slowest_in_force_s = 0.0
+
+    def published(self, revision: int) -> None:
+        """Note a publication that should come into force."""
+        self._published_at[revision] = asyncio.get_running_loop().time()
+
+    async def run(self) -> None:
+        """Look until cancelled."""
+        while True:
+            self._look(asyncio.get_running_loop().time())
+            await asyncio.sleep(WATCH_EVERY_S)
+
+    def _look(self, now: float) -> None:
+        running = [
+            vm
+            for vm in self._fleet.vms
+            if vm.node is not None and vm.context_name not in self._fleet.loop.stopped
+        ]
+        for vm in running:
+            self._note_revision(vm)
+        lowest = min((vm.node.tables.revision for vm in running), default=-1)
+        for revision, at in list(self._published_at.items()):
+            if lowest >= revision:
+                self.slowest_in_force_s = max(self.slowest_in_force_s, now - at)
+                del self._published_at[revision]
+            else:
+                self.slowest_in_force_s = max(self.slowest_in_force_s, now - at)
+        self._compare_views(running, now)
+
+    def _note_revision(self, vm: FleetVm) -> None:
+        before = self._seen_by_process.get(vm.context_name, -1)
+        revision = vm.node.tables.revision
+        if revision < before:
+            self.violations.append(Violation("never reverts", f"{vm.name}: {before} to {revision}"))
+        self._seen_by_process[vm.context_name] = revision
+
+    def _compare_views(self, running: list[FleetVm], now: float) -> None:
+        """Views agree when every running VM sees exactly the running VMs as reachable."""
+        names = {vm.name for vm in running if not vm.node.desk.draining}
+        agree = all({m.vm for m in vm.node.members.all() if m.reachable} == names for vm in running)
+        if agree:
+            self._disagree_since = None
+            return
+        if self._disagree_since is None:
+            self._disagree_since = now
+        self.longest_disagreement_s = max(self.longest_disagreement_s, now - self._disagree_since)
+
+
+def _deployment(scenario: Scenario) -> Deployment:
+    routes = {
+        "classes": {name: dict(options) for name, options in DEFAULT_ROUTES["classes"].items()},
+        "routes": {},
+    }
+    for name, options in scenario.class_options.items():
+        routes["classes"].setdefault(name, {}).update(_nested(options))
+    pools = {spec.name for spec in scenario.pools}
+    for name, entry in DEFAULT_ROUTES["routes"].items():
+        if entry["pool"] in pools:
+            routes["routes"][name] = entry
+    return build_deployment(routes, tuple(scenario.pools))
+
+
+def _nested(options: dict) -> dict:
+    """Coverage options go into their own object."""
+    coverage = {name: options[name] for name in ("wanted", "settle_ms", "below") if name in options}
+    rest = {name: value for name, value in options.items() if name not in coverage}
+    return rest | ({"coverage": coverage} if coverage else {})
--- a/bergamotgate/standin/virtual.py
+++ b/bergamotgate/standin/virtual.py
@@ -34,14 +34,16 @@
     """Runs timers in their order without waiting for them.
 
     A callback belongs to the VM in whose context it was scheduled. While that VM is stopped its
-    callbacks are held back, as with SIGSTOP; once it is killed they are dropped.
+    callbacks are held back, as with SIGSTOP; those of a killed VM are never let go.
+
+    Attributes:
+        stopped: VMs that are stopped now.
     """
 
     def __init__(self) -> None:
         self._virtual = _VirtualSelector()
         super().__init__(self._virtual)
-        self._stopped: set[str] = set()
-        self._killed: set[str] = set()
+        self.stopped: set[str] = set()
         self._held_by_vm: dict[str, list[Callable[[], None]]] = defaultdict(list)
 
     def time(self) -> float:
@@ -50,27 +52,25 @@
 
     def stop_vm(self, vm: str) -> None:
         """Hold back everything of a VM."""
-        self._stopped.add(vm)
+        self.stopped.add(vm)
 
     def continue_vm(self, vm: str) -> None:
         """Let a stopped VM go on with what piled up."""
-        self._stopped.discard(vm)
+        self.stopped.discard(vm)
         for release in self._held_by_vm.pop(vm, []):
             release()
 
     def kill_vm(self, vm: str) -> None:
-        """Drop everything of a VM, now and later."""
-        self._killed.add(vm)
-        self._held_by_vm.pop(vm, None)
+        """Let nothing of a VM ever run again."""
+        self.stopped.add(vm)
 
     def end_tasks(self) -> None:
         """Cancel every task that is left, those of stopped and killed VMs too."""
-        self._stopped.clear()
-        self._killed.clear()
-        self._held_by_vm.clear()
         tasks = asyncio.all_tasks(self)
         for task in tasks:
             task.cancel()
+        for vm in list(self.stopped):
+            self.continue_vm(vm)
         self.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
 
     def call_soon(
@@ -113,15 +113,15 @@
         callback: Callable,
         args: tuple,
     ) -> None:
-        if vm in self._killed:
+        if box[0].cancelled():
             return
-        if vm not in self._stopped:
+        if vm not in self.stopped:
             callback(*args)
             return
 
         def release() -> None:
-            if not box[0].cancelled():
-                self.call_soon(callback, *args, context=context)
+            gate = super(VirtualLoop, self).call_soon
+            gate(self._gate, vm, box, context, callback, args, context=context)
 
         self._held_by_vm[vm].append(release)
 
