Prove ended processes, deliver again over new links, and settle takeovers sooner

Cause: after a kill a server group had no owner for about 4 s (2.4 s to agree on the death, 1.5 s to settle); silent links cost unknown outcomes, since a lost link ended what was pending on it. Change: a refused TCP connection proves that a process has ended (state GONE), which moves its groups and shortens the settling; links deliver pending sub-requests again to the same process, which knows what it has seen; several silent servers close all idle connections; a change of the second owner no longer unsettles the first. Ruled out: faster suspicion alone, which leaves the settling.

--- a/bergamotgate/admission/owner.py
+++ b/bergamotgate/admission/owner.py
@@ -20,6 +20,8 @@
 
 SLEEP_CHECK_S = 0.2
 SLEPT_S = 1.0
+SILENCE_SPAN_S = 1.0
+SILENT_SERVERS = 2
 
 ServerKey = tuple[str, str]
 
@@ -47,6 +49,7 @@
         self._server_by_key: dict[ServerKey, OwnedServer] = {}
         self._told_warm: Callable[[str, str], str | None] = lambda pool, server: None
         self._draining = False
+        self._silent_at_by_server: dict[str, float] = {}
         directory.on_change(self._release_lost)
 
     def follow_leases(self, leases: LeaseBook) -> None:
@@ -129,6 +132,19 @@
                 owned.warmth.chill()
                 owned.close_idle()
 
+    def _note_silence(self, silent: OwnedServer) -> None:
+        """Trust no idle connection of a silent server; none of any when several went silent."""
+        silent.close_idle()
+        now = self._clock.now()
+        self._silent_at_by_server[silent.server.address] = now
+        recent = [at for at in self._silent_at_by_server.values() if now - at < SILENCE_SPAN_S]
+        if len(recent) < SILENT_SERVERS:
+            return
+        self._silent_at_by_server.clear()
+        logger.warning("owner: Several servers went silent, all idle connections are closed.")
+        for owned in self._server_by_key.values():
+            owned.close_idle()
+
     def _refusal(self, batch: Batch, item: SubRequest) -> Reason | None:
         if self._draining:
             return Reason.NOT_OWNER
@@ -160,6 +176,7 @@
             server,
             lambda: self._current_share(key),
             lambda: self._told_warm(*key),
+            self._note_silence,
             self._connector,
             self._clock,
             self._tasks,
--- a/bergamotgate/admission/queue.py
+++ b/bergamotgate/admission/queue.py
@@ -59,6 +59,11 @@
                 self._drop(job, reason)
         self._heap.clear()
 
+    def next_deadline(self) -> float:
+        """When the first waiting job expires, in seconds; infinity when none waits."""
+        waiting = (job.deadline for _, _, job in self._heap if job.stage is JobStage.QUEUED)
+        return min(waiting, default=float("inf"))
+
     def expire(self, now: float) -> None:
         """Decline jobs whose deadline has passed."""
         for _, _, job in list(self._heap):
--- a/bergamotgate/admission/server.py
+++ b/bergamotgate/admission/server.py
@@ -48,6 +48,7 @@
         server: Server,
         share: Callable[[], Share],
         told_warm: Callable[[], str | None],
+        on_silence: Callable[["OwnedServer"], None],
         connector: BackendConnector,
         clock: Clock,
         tasks: TaskGroup,
@@ -61,6 +62,7 @@
         self.running = 0
         self._current_share = share
         self._told_warm = told_warm
+        self._on_silence = on_silence
         self._held_since = NO_SHARE.since
         self._connector = connector
         self._clock = clock
@@ -77,6 +79,9 @@
         if job.hedge and not self._has_free_slot():
             job.decline(Reason.NO_FREE_SLOT)
             return
+        if self._may_never_send():
+            job.decline(Reason.OWNER_NOT_READY)
+            return
         self.queue.push(job)
         self.pump()
 
@@ -109,6 +114,11 @@
         if len(self.queue) and self._recheck is None:
             self._recheck = self._tasks.start(self._check_again())
 
+    def _may_never_send(self) -> bool:
+        """Whether this process has no part of a cold server's allowance."""
+        share = self._share()
+        return not self.warmth.is_warm and share.cold_slots == 0
+
     def close_idle(self) -> None:
         """Close connections that no request uses."""
         while self._idle:
@@ -141,13 +151,16 @@
             self.warmth.trust(incarnation)
 
     def _has_free_slot(self) -> bool:
-        return self.warmth.is_warm and not len(self.queue) and self.running < self.allowance()
+        return not len(self.queue) and self.running < self.allowance()
 
     async def _check_again(self) -> None:
         """Look again at a queue that cannot move now; nothing else may wake it."""
-        await self._clock.sleep(RECHECK_S)
+        next_deadline = self.queue.next_deadline()
+        await self._clock.sleep(min(RECHECK_S, max(0.0, next_deadline - self._clock.now())))
         self._recheck = None
         self.queue.expire(self._clock.now())
+        if self._may_never_send():
+            self.queue.decline_all(Reason.OWNER_NOT_READY)
         self.pump()
 
     def _start(self, job: Job) -> None:
@@ -194,7 +207,7 @@
             result = JobResult(Outcome.UNKNOWN, self._death_reason(job))
         except ExchangeTimedOut:
             linger_s = LINGER_SILENT_S
-            self.close_idle()  # siblings may have gone silent with it
+            self._on_silence(self)
             result = JobResult(Outcome.UNKNOWN, Reason.TIMED_OUT)
         except WrongReply:
             result = JobResult(Outcome.UNKNOWN, Reason.WRONG_REPLY)
--- a/bergamotgate/caller/caller.py
+++ b/bergamotgate/caller/caller.py
@@ -34,6 +34,7 @@
         "redirects",
     }
 )
+KEEPER_TROUBLE = frozenset({"keeper_gone", "no_answer", "timed_out", "draining"})
 HTTP_OK = 200
 HTTP_REDIRECT = 307
 
@@ -157,7 +158,11 @@
             timeout_s = deadline_ms / 1000 + ANSWER_MARGIN_S
             message = _Message(method, path, body, headers, timeout_s)
             result = replace(await self._send_to(address, message), sendings=sending)
-            if result.answered or not self._worth_sending_again(result):
+            if result.answered:
+                return result
+            if result.reason in KEEPER_TROUBLE:
+                self._keep_until = float("-inf")  # other requests need another keeper
+            if not self._worth_sending_again(result):
                 return result
             if once and result.outcome == "not_run":
                 key = None
--- a/bergamotgate/front/desk.py
+++ b/bergamotgate/front/desk.py
@@ -21,7 +21,7 @@
 from bergamotgate.outcomes import NotRun, NotRunReason, Refusal, Unknown, UnknownReason
 from bergamotgate.wire.codec import WIRE_VERSION
 from bergamotgate.wire.generated.ttypes import Frame, KeeperCall, KeeperReply
-from bergamotgate.wire.links import Links
+from bergamotgate.wire.links import Links, PeerProcess
 
 __all__ = ["CallerRequest", "FrontDesk", "MAX_BODY_BYTES"]
 
@@ -223,7 +223,7 @@
             keeper.boot,
         )
         frame = Frame(version=WIRE_VERSION, keeper_call=call)
-        link = self._links.to(keeper.peer)
+        link = self._links.to(PeerProcess(keeper.peer, keeper.boot))
         try:
             answer = await link.call(call.call, frame, budget_s + RELAY_MARGIN_S)
         except LinkLost:
--- a/bergamotgate/gather/query.py
+++ b/bergamotgate/gather/query.py
@@ -26,7 +26,7 @@
 
 __all__ = ["MissingShard", "PoolTools", "Query", "QueryAnswer", "QueryRequest"]
 
-RETURN_MARGIN_S = 0.002
+RETURN_MARGIN_S = 0.005
 RETRY_AFTER_S = 0.02
 MAX_TRIES = 6
 CONGESTED_SHARE = 0.2
@@ -305,6 +305,8 @@
         reason = reply.reason
         self._tools.metrics.declined.labels(self._pool.name, reason_name(reason)).inc()
         if reason in PROVEN_NOT_RUN:
+            if state.attempts:
+                state.tried.discard(attempt.candidate.server)
             if attempt.extra and reason in FREE_RETRY_REASONS:
                 self._tools.budget.give_back()
         else:
--- a/bergamotgate/membership/members.py
+++ b/bergamotgate/membership/members.py
@@ -10,12 +10,17 @@
 
 
 class MemberState(IntEnum):
-    """State of a member; at equal incarnation the higher one wins."""
+    """State of a member; at equal incarnation the higher one wins.
+
+    ``DEAD`` is a belief: the process gave no answer. ``LEFT`` is its own word that it takes no more
+    work. ``GONE`` is proof that it has ended: the kernel of its VM refuses connections to it.
+    """
 
     ALIVE = 1
     SUSPECT = 2
     DEAD = 3
     LEFT = 4
+    GONE = 5
 
 
 @dataclass(frozen=True)
@@ -50,6 +55,11 @@
         """Whether work may be sent there."""
         return self.state in (MemberState.ALIVE, MemberState.SUSPECT)
 
+    @property
+    def surely_out(self) -> bool:
+        """Whether it certainly takes no more work."""
+        return self.state in (MemberState.LEFT, MemberState.GONE)
+
     def record(self) -> MemberRecord:
         """The message form."""
         return MemberRecord(
--- a/bergamotgate/membership/prober.py
+++ b/bergamotgate/membership/prober.py
@@ -12,6 +12,7 @@
 from bergamotgate.metrics import Metrics
 from bergamotgate.platform.vmlist import VmList
 from bergamotgate.wire.generated.ttypes import Ack, Datagram, MemberRecord, Ping, RevisionMark
+from bergamotgate.wire.network import Network, PeerLife
 from bergamotgate.wire.port import PeerPort
 
 __all__ = ["Prober"]
@@ -21,6 +22,7 @@
 INDIRECT_TIMEOUT_S = 0.25
 SUSPICION_S = 1.5
 SLEPT_FACTOR = 2.0
+LOOK_TIMEOUT_S = 0.25
 RELAYS = 3
 SPREAD_TO = 3
 SPREAD_DELAY_S = 0.005
@@ -53,6 +55,7 @@
         self,
         members: MemberTable,
         port: PeerPort,
+        network: Network,
         clock: Clock,
         rng: random.Random,
         confirmation: ViewConfirmation,
@@ -60,6 +63,7 @@
     ):
         self._members = members
         self._port = port
+        self._network = network
         self._clock = clock
         self._rng = rng
         self._confirmation = confirmation
@@ -161,6 +165,7 @@
         question = self._ask(target)
         if await self._answered(question, DIRECT_TIMEOUT_S):
             return
+        self._tasks.start(self._look_for_end(target))
         sequence = self._sequence
         for relay in self._some_alive(RELAYS, without=target.vm):
             self._port.send(relay.peer, ping=Ping(sequence, target.vm, target.peer))
@@ -175,6 +180,18 @@
         suspect = replace(believed, state=MemberState.SUSPECT)
         self._members.merge(suspect)
 
+    async def _look_for_end(self, target: Member) -> None:
+        """Declare a process gone when its VM's kernel refuses a connection to it."""
+        if await self._network.look(target.peer, LOOK_TIMEOUT_S) is not PeerLife.REFUSED:
+            return
+        believed = self._members.get(target.vm)
+        if believed is None or believed.boot != target.boot:
+            return
+        if believed.state is MemberState.GONE:
+            return
+        logger.info("membership: The process on VM {} has ended.", target.vm)
+        self._members.merge(replace(believed, state=MemberState.GONE))
+
     async def _suspicion(self, suspect: Member) -> None:
         started = self._clock.now()
         await self._clock.sleep(SUSPICION_S)
--- a/bergamotgate/node/catchup.py
+++ b/bergamotgate/node/catchup.py
@@ -14,7 +14,7 @@
     VmListAsk,
     VmListReply,
 )
-from bergamotgate.wire.links import Links
+from bergamotgate.wire.links import Links, PeerProcess
 
 __all__ = ["CatchUp", "answer_frame"]
 
@@ -64,14 +64,16 @@
 
     async def _ask_tables(self, address: str, ask: object) -> TablesReply | None:
         frame = Frame(version=WIRE_VERSION, tables_ask=ask)
-        answer = await self._links.to(address).call(ask.call, frame, FETCH_TIMEOUT_S)
+        answer = await self._links.to(PeerProcess(address)).call(ask.call, frame, FETCH_TIMEOUT_S)
         return answer.tables_reply
 
     async def _fetch_list(self, address: str) -> None:
         ask = VmListAsk(self._links.next_call())
         frame = Frame(version=WIRE_VERSION, vm_list_ask=ask)
         try:
-            answer = await self._links.to(address).call(ask.call, frame, FETCH_TIMEOUT_S)
+            answer = await self._links.to(PeerProcess(address)).call(
+                ask.call, frame, FETCH_TIMEOUT_S
+            )
             reply = answer.vm_list_reply
             if reply is not None:
                 self._vm_lists.offer(reply.revision, reply.whole.decode(errors="replace"))
--- a/bergamotgate/node/node.py
+++ b/bergamotgate/node/node.py
@@ -23,7 +23,7 @@
 from bergamotgate.node.catchup import CatchUp
 from bergamotgate.node.peerserver import PeerServer
 from bergamotgate.node.status import node_status
-from bergamotgate.ownership.directory import OwnerDirectory
+from bergamotgate.ownership.directory import LONGEST_SETTLE_S, OwnerDirectory
 from bergamotgate.ownership.lease import LeaseBook
 from bergamotgate.ownership.rendezvous import rank
 from bergamotgate.ownership.share import ShareKeeper
@@ -44,8 +44,8 @@
 JOIN_WAIT_S = 0.5
 JOIN_STEP_S = 0.05
 DRAIN_STEP_S = 0.05
+LEAVE_NOTICE_S = 1.0
 SETTLE_LEAST_S = 0.5
-SETTLE_MOST_S = 5.0
 
 
 @dataclass(frozen=True)
@@ -96,18 +96,24 @@
         self.members = MemberTable(own)
         self.confirmation = ViewConfirmation(clock)
         self.port = PeerPort(settings.vm, services.boot, self.metrics)
-        self.links = Links(services.network, clock, self.metrics)
+        self.links = Links(settings.vm, services.boot, services.network, clock, self.metrics)
         self.tables = TableStore(self.metrics)
         self.vm_lists = VmListStore(self.metrics)
         self.prober = Prober(
-            self.members, self.port, clock, services.rng, self.confirmation, self.metrics
+            self.members,
+            self.port,
+            services.network,
+            clock,
+            services.rng,
+            self.confirmation,
+            self.metrics,
         )
         self._make_owner_side(clock)
         self._make_caller_side(clock)
         self._catchup = CatchUp(self.tables, self.vm_lists, self.links)
         self.port.subscribe(self._catchup.receive)
         self._peer_server = PeerServer(
-            f"{settings.vm}-{services.boot}",
+            services.boot,
             self.owner,
             self.tables,
             self.vm_lists,
@@ -141,6 +147,8 @@
         self.keeper.drain()
         self.prober.leave()
         self.owner.drain()
+        # Requests that peers relayed before they heard of it still get their answer.
+        await self._services.clock.sleep(min(wait_s, LEAVE_NOTICE_S))
         until = self._services.clock.now() + wait_s
         while self._is_busy() and self._services.clock.now() < until:
             await self._services.clock.sleep(DRAIN_STEP_S)
@@ -177,7 +185,7 @@
         self.leases = LeaseBook(
             self.directory, self.members, self.port, clock, lambda: self.owner.warm_servers()
         )
-        shares = ShareKeeper(vm, self.directory, self.leases, clock, self._settle_s)
+        shares = ShareKeeper(vm, self.directory, self.leases, self.members, clock, self._settle_s)
         self.owner = Owner(
             self.directory,
             shares,
@@ -195,7 +203,7 @@
         self.replicas = ReplicaBook(self.directory, clock, rng)
         dispatcher = Dispatcher(
             vm,
-            f"{vm}-{self._services.boot}-0",
+            f"{vm}-{self._services.boot}",
             self.members,
             self.links,
             self.owner,
@@ -280,14 +288,14 @@
         """Time after which no sub-request of a previous owner can still run."""
         tables = self.tables.tables
         if tables is None:
-            return SETTLE_MOST_S
+            return LONGEST_SETTLE_S
         deadlines = (
             route.urgency.deadline_ms
             for route in tables.route_by_name.values()
             if route.pool == pool
         )
         longest_s = max(deadlines, default=0) / 1000
-        return min(SETTLE_MOST_S, max(SETTLE_LEAST_S, longest_s))
+        return min(LONGEST_SETTLE_S, max(SETTLE_LEAST_S, longest_s))
 
     def _use_tables(self, tables: Tables) -> None:
         self.port.tables_mark = RevisionMark(tables.revision, tables.digest)
--- a/bergamotgate/node/peerserver.py
+++ b/bergamotgate/node/peerserver.py
@@ -1,8 +1,8 @@
 """Serves the streams that peers open: one task for each."""
 
 import asyncio
-import itertools
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 from loguru import logger
 
@@ -15,20 +15,30 @@
 from bergamotgate.node.catchup import answer_frame
 from bergamotgate.platform.liststore import VmListStore
 from bergamotgate.wire.codec import WIRE_VERSION, decode_frame, encode
-from bergamotgate.wire.generated.ttypes import Frame, KeeperCall, KeeperReply, SubReply
+from bergamotgate.wire.generated.ttypes import Frame, Hello, KeeperCall, KeeperReply, SubReply
 from bergamotgate.wire.network import FrameStream, Listener, Network
 
 __all__ = ["PeerServer"]
 
+RECONNECT_GRACE_S = 1.0
+
 OnKeeperCall = Callable[[KeeperCall], Awaitable[KeeperReply]]
 
 
+@dataclass
+class _Session:
+    """One gateway process and the stream that it uses now."""
+
+    service: BatchService
+    stream: FrameStream
+
+
 class PeerServer:
     """Accepts peers and answers what they send."""
 
     def __init__(
         self,
-        name: str,
+        boot: int,
         owner: Owner,
         tables: TableStore,
         vm_lists: VmListStore,
@@ -36,7 +46,7 @@
         clock: Clock,
         metrics: Metrics,
     ):
-        self._name = name
+        self._boot = boot
         self._owner = owner
         self._tables = tables
         self._vm_lists = vm_lists
@@ -45,7 +55,7 @@
         self._metrics = metrics
         self._tasks = TaskGroup("peers:")
         self._streams: set[FrameStream] = set()
-        self._numbers = itertools.count(1)
+        self._session_by_sender: dict[str, _Session] = {}
         self._listener: Listener | None = None
 
     async def open(self, network: Network, address: str) -> None:
@@ -62,30 +72,56 @@
 
     async def _serve(self, stream: FrameStream) -> None:
         self._streams.add(stream)
-        sender = f"{self._name}-{next(self._numbers)}"
-        service = BatchService(
-            self._owner, self._clock, sender, lambda replies: _send_replies(stream, replies)
-        )
+        session: _Session | None = None
         try:
             while True:
-                self._receive(stream, service, decode_frame(await stream.receive()))
+                frame = decode_frame(await stream.receive())
+                if frame.hello is not None and frame.hello.to_boot:
+                    session = self._begin_session(stream, frame.hello)
+                self._receive(stream, session, frame)
         except LinkLost:
             pass
         except FrameError as error:
             self._metrics.bad_messages.labels("frame").inc()
-            logger.warning("peers: A frame from {} is unreadable: {}", stream.peer, error)
+            logger.warning("peers: {} sends unreadable frames: {}", stream.peer, error)
         except asyncio.CancelledError:
             pass
         finally:
-            service.cancel_repeatable()
             self._streams.discard(stream)
             stream.close()
-
-    def _receive(self, stream: FrameStream, service: BatchService, frame: Frame) -> None:
-        if frame.batch is not None:
-            service.submit(frame.batch)
-        if frame.cancel is not None:
-            service.cancel(frame.cancel.attempts)
+            if session is not None and session.stream is stream:
+                self._tasks.start(self._end_session(session, stream))
+
+    def _begin_session(self, stream: FrameStream, hello: Hello) -> _Session:
+        """Find the session of a gateway process, or begin one.
+
+        Raises:
+            LinkLost: The gateway looks for an earlier process at this address, which may have run
+                what the gateway would deliver again.
+        """
+        if hello.to_boot != self._boot:
+            raise LinkLost(stream.peer)
+        sender = f"{hello.vm}-{hello.boot}"
+        session = self._session_by_sender.get(sender)
+        if session is None:
+            service = BatchService(self._owner, self._clock, sender, lambda replies: None)
+            session = _Session(service, stream)
+            self._session_by_sender[sender] = session
+        session.stream = stream
+        session.service.on_replies = lambda replies: _send_replies(stream, replies)
+        return session
+
+    async def _end_session(self, session: _Session, stream: FrameStream) -> None:
+        """Give up the jobs of a gateway that does not connect again."""
+        await self._clock.sleep(RECONNECT_GRACE_S)
+        if session.stream is stream:
+            session.service.cancel_repeatable()
+
+    def _receive(self, stream: FrameStream, session: _Session | None, frame: Frame) -> None:
+        if session is not None and frame.batch is not None:
+            session.service.submit(frame.batch)
+        if session is not None and frame.cancel is not None:
+            session.service.cancel(frame.cancel.attempts)
         if frame.echo is not None:
             _send(stream, Frame(version=WIRE_VERSION, echo_reply=frame.echo))
         if frame.keeper_call is not None:
--- a/bergamotgate/ownership/directory.py
+++ b/bergamotgate/ownership/directory.py
@@ -1,21 +1,23 @@
 """Places each group of backend servers on two VMs: a first owner and a second that stands in.
 
-The placing is a pure function of the tables, the VM list and the VMs that said that they left.
-What a process believes about who is alive never moves a group; it only decides which of the two
-serves.
+The placing is a pure function of the tables, the VM list and the VMs that are surely out: those
+that said that they left and those whose process was seen to have ended. What a process merely
+believes about who is alive never moves a group; it only decides which of the two serves.
 """
 
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from bergamotgate.clock import Clock
 from bergamotgate.config.tables import Pool, Server, Tables
-from bergamotgate.membership.members import MemberState, MemberTable
+from bergamotgate.membership.members import MemberTable
 from bergamotgate.ownership.rendezvous import rank
 from bergamotgate.platform.vmlist import VmList
 
-__all__ = ["OwnerDirectory", "Ranking", "ServerGroup"]
+__all__ = ["LONGEST_SETTLE_S", "OwnerDirectory", "Ranking", "ServerGroup"]
+
+LONGEST_SETTLE_S = 5.0
 
 
 @dataclass(frozen=True)
@@ -34,12 +36,31 @@
     Attributes:
         first: The owner, or None when no VM is listed.
         second: The stand-in, or None when only one VM is listed.
-        since: When this process first saw this ranking, in seconds.
+        since: When this process first saw this first owner, in seconds.
+        second_since: When this process first saw this pair, in seconds.
+        previous: The process that was first before, or None when there was none.
     """
 
     first: str | None
     second: str | None
     since: float
+    second_since: float
+    previous: "PreviousOwner | None" = None
+
+
+@dataclass(frozen=True)
+class PreviousOwner:
+    """The process that was first before.
+
+    Attributes:
+        vm: Name of its VM.
+        boot: Start of the process, in milliseconds since 1970.
+        settled: Whether it had been first long enough for its own predecessor's work to end.
+    """
+
+    vm: str
+    boot: int
+    settled: bool
 
 
 class OwnerDirectory:
@@ -52,11 +73,11 @@
         self._tables: Tables | None = None
         self._vm_list: VmList | None = None
         self._vms_by_zone: dict[str, list[str]] = {}
-        self._left: frozenset[str] = frozenset()
+        self._out: frozenset[str] = frozenset()
         self._ranking_by_group: dict[ServerGroup, Ranking] = {}
         self._previous_by_group: dict[ServerGroup, Ranking] = {}
         self._listeners: list[Callable[[], None]] = []
-        members.on_change(lambda member: self._notice_left())
+        members.on_change(lambda member: self._notice_out())
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call back after rankings may have changed."""
@@ -105,10 +126,10 @@
                     found[group] = ranking
         return found
 
-    def _notice_left(self) -> None:
-        left = frozenset(m.vm for m in self._members.all() if m.state is MemberState.LEFT)
-        if left != self._left:
-            self._left = left
+    def _notice_out(self) -> None:
+        out = frozenset(m.vm for m in self._members.all() if m.surely_out)
+        if out != self._out:
+            self._out = out
             self._rebuild()
 
     def _rebuild(self) -> None:
@@ -118,7 +139,7 @@
         if self._vm_list is not None:
             for name in self._vm_list.live_names:
                 zone = self._vm_list.vm_by_name[name].zone
-                if name not in self._left and self._zone_is_in(zone):
+                if name not in self._out and self._zone_is_in(zone):
                     by_zone[zone].append(name)
         self._vms_by_zone = dict(by_zone)
         for listener in self._listeners:
@@ -139,7 +160,19 @@
         previous = self._previous_by_group.get(group)
         if previous is not None and (previous.first, previous.second) == (first, second):
             return previous
-        return Ranking(first, second, self._clock.now())
+        now = self._clock.now()
+        if previous is not None and previous.first == first:
+            return replace(previous, second=second, second_since=now)
+        return Ranking(first, second, now, now, self._previous_owner(previous))
+
+    def _previous_owner(self, previous: Ranking | None) -> PreviousOwner | None:
+        if previous is None or previous.first is None:
+            return None
+        member = self._members.get(previous.first)
+        if member is None:
+            return None
+        settled = self._clock.now() - previous.since >= LONGEST_SETTLE_S
+        return PreviousOwner(member.vm, member.boot, settled)
 
     def _zones_from(self, zone: str) -> list[str]:
         """All zones in a fixed order that starts at the group's own."""
--- a/bergamotgate/ownership/share.py
+++ b/bergamotgate/ownership/share.py
@@ -10,6 +10,7 @@
 
 from bergamotgate.clock import Clock
 from bergamotgate.config.tables import Pool
+from bergamotgate.membership.members import MemberState, MemberTable
 from bergamotgate.ownership.directory import OwnerDirectory, Ranking, ServerGroup
 from bergamotgate.ownership.lease import LeaseBook
 
@@ -33,6 +34,7 @@
     since: float
 
 
+ENDED_SETTLE_S = 0.1
 NO_SHARE = Share(0, 0, 0, float("-inf"))
 
 
@@ -54,39 +56,64 @@
         own_vm: str,
         directory: OwnerDirectory,
         leases: LeaseBook,
+        members: MemberTable,
         clock: Clock,
         settle_s: Callable[[str], float],
     ):
         self._own_vm = own_vm
         self._directory = directory
         self._leases = leases
+        self._members = members
+        self._settled_since: dict[ServerGroup, float] = {}
         self._clock = clock
         self._settle_s = settle_s
 
     def share(self, pool: Pool, group: ServerGroup) -> Share:
         """The part of each server's limits in a group that this process may use now."""
         ranking = self._directory.ranking(group)
-        settled = self._clock.now() - ranking.since >= self._settle_s(pool.name)
-        if not settled:
-            return NO_SHARE
-        if ranking.first == self._own_vm:
+        if ranking.first == self._own_vm and self._is_settled(pool, group, ranking):
             return self._as_first(pool, ranking)
         if ranking.second == self._own_vm and ranking.first is not None:
-            return self._as_second(pool, ranking.first)
+            return self._as_second(pool, ranking)
         return NO_SHARE
 
+    def _is_settled(self, pool: Pool, group: ServerGroup, ranking: Ranking) -> bool:
+        """Whether nothing that an earlier owner sent can still run."""
+        if self._settled_since.get(group) == ranking.since:
+            return True
+        waited_s = self._clock.now() - ranking.since
+        settled = waited_s >= self._settle_s(pool.name)
+        if not settled and self._previous_ended(ranking):
+            settled = waited_s >= ENDED_SETTLE_S
+        if settled:
+            self._settled_since[group] = ranking.since
+        return settled
+
+    def _previous_ended(self, ranking: Ranking) -> bool:
+        """Whether the previous owner's process has ended, so that its connections are closed."""
+        previous = ranking.previous
+        if previous is None or not previous.settled:
+            return False
+        member = self._members.get(previous.vm)
+        same = member is not None and member.boot == previous.boot
+        return same and member.state is MemberState.GONE
+
     def _as_first(self, pool: Pool, ranking: Ranking) -> Share:
         connections = larger_half(pool.connections)
-        if ranking.second is None or self._leases.holds(ranking.second):
+        # A second that was replaced just now may still be serving.
+        pair_settled = self._clock.now() - ranking.second_since >= self._settle_s(pool.name)
+        promised = ranking.second is None or self._leases.holds(ranking.second)
+        if promised and (pair_settled or ranking.second_since == ranking.since):
             return Share(pool.slots, pool.cold_slots, connections, ranking.since)
         return Share(
             larger_half(pool.slots), larger_half(pool.cold_slots), connections, ranking.since
         )
 
-    def _as_second(self, pool: Pool, first: str) -> Share:
-        free_since = self._leases.free_since(first)
+    def _as_second(self, pool: Pool, ranking: Ranking) -> Share:
+        free_since = self._leases.free_since(ranking.first)
         if free_since is None:
             return NO_SHARE
+        free_since = max(free_since, ranking.second_since)
         if self._clock.now() - free_since < self._settle_s(pool.name):
             return NO_SHARE
         return Share(
--- a/bergamotgate/standin/virtual.py
+++ b/bergamotgate/standin/virtual.py
@@ -66,12 +66,12 @@
 
     def end_tasks(self) -> None:
         """Cancel every task that is left, those of stopped and killed VMs too."""
-        tasks = asyncio.all_tasks(self)
-        for task in tasks:
-            task.cancel()
-        for vm in list(self.stopped):
-            self.continue_vm(vm)
-        self.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        while tasks := asyncio.all_tasks(self):
+            for task in tasks:
+                task.cancel()
+            for vm in list(self.stopped):
+                self.continue_vm(vm)
+            self.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
 
     def call_soon(
         self, callback: Callable, *args: Any, context: contextvars.Context | None = None
--- a/bergamotgate/wire/network.py
+++ b/bergamotgate/wire/network.py
@@ -3,6 +3,7 @@
 import asyncio
 import struct
 from collections.abc import Awaitable, Callable
+from enum import Enum, auto
 from typing import Protocol
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -18,6 +19,7 @@
     "FrameStream",
     "Listener",
     "Network",
+    "PeerLife",
     "SocketNetwork",
     "split_address",
 ]
@@ -70,6 +72,14 @@
         """Stop listening."""
 
 
+class PeerLife(Enum):
+    """What the kernel of a peer's VM says of its address."""
+
+    LISTENING = auto()
+    REFUSED = auto()
+    SILENT = auto()
+
+
 class Network(Protocol):
     """Everything a node uses to reach other nodes."""
 
@@ -86,6 +96,9 @@
             LinkLost: Nobody answers there.
         """
 
+    async def look(self, address: str, wait_s: float) -> PeerLife:
+        """Find out whether any process listens at an address."""
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Host and port of an ``ip:port``."""
@@ -126,6 +139,22 @@
             raise LinkLost(address) from error
         return _TcpStream(stream, address)
 
+    async def look(self, address: str, wait_s: float) -> PeerLife:
+        """Try a TCP connection."""
+        return await _look(address, wait_s)
+
+
+async def _look(address: str, wait_s: float) -> PeerLife:
+    host, port = split_address(address)
+    try:
+        stream = await TCPClient().connect(host, port, timeout=wait_s)
+    except ConnectionRefusedError:
+        return PeerLife.REFUSED
+    except (OSError, TimeoutError, StreamClosedError):
+        return PeerLife.SILENT
+    stream.close()
+    return PeerLife.LISTENING
+
 
 class _UdpPort(asyncio.DatagramProtocol):
     def __init__(self, on_datagram: OnDatagram):
--- a/idl/bergamotgate.thrift
+++ b/idl/bergamotgate.thrift
@@ -1,7 +1,7 @@
 // Messages between the processes of bergamotgate.
 namespace py bergamotgate.wire.generated
 
-enum MemberState { ALIVE = 1, SUSPECT = 2, DEAD = 3, LEFT = 4 }
+enum MemberState { ALIVE = 1, SUSPECT = 2, DEAD = 3, LEFT = 4, GONE = 5 }
 
 struct MemberRecord {
   1: required string vm
@@ -126,6 +126,12 @@
 }
 struct KeeperReply { 1: required i64 call, 2: required i16 status, 3: required binary answer }
 
+struct Hello {
+  1: required string vm
+  2: required i64 boot
+  3: required i64 to_boot
+}
+
 struct Frame {
   1: required i16 version
   2: optional Batch batch
@@ -139,4 +145,5 @@
   10: optional KeeperReply keeper_reply
   11: optional i64 echo
   12: optional i64 echo_reply
+  13: optional Hello hello
 }
