Learn slow replicas from attempts that were given up, hedge to the better replica

Cause: a replica 10 times slower was chosen again and again: an attempt given up for a hedge taught nothing, and after 10 s without answer its latency counted as unknown, that is fast; a declined hedge was never tried elsewhere; a stalled request made a good replica look slow. Change: given-up attempts are lower bounds; a stale latency is halved, not forgotten; one sample moves the value threefold at the most; a hedge goes to the same server when the other is known to be far slower; a connection closed by a cancel while its reply came in is not kept.

--- a/bergamotgate/admission/server.py
+++ b/bergamotgate/admission/server.py
@@ -197,7 +197,7 @@
         try:
             reply = await connection.exchange(self._request(job))
             result = self._judge(job, reply)
-            if job.repeatable and result.reason is not Reason.SNAPSHOT_MISMATCH:
+            if self._may_keep(job, result):
                 linger_s = None
         except ConnectionRefused:
             self._rest_until = self._clock.now() + CONNECT_REST_S
@@ -218,6 +218,14 @@
         service_s = self._clock.now() - job.started_at
         return JobResult(result.outcome, result.reason, result.body, wait_s, service_s)
 
+    def _may_keep(self, job: Job, result: JobResult) -> bool:
+        """Whether the connection may carry another request.
+
+        A job that was cancelled while its reply came in has closed its connection.
+        """
+        trusted = result.reason is not Reason.SNAPSHOT_MISMATCH
+        return job.repeatable and trusted and job.stage is JobStage.RUNNING
+
     def _request(self, job: Job) -> BackendRequest:
         return BackendRequest(
             identifier=job.identifier,
--- a/bergamotgate/gather/query.py
+++ b/bergamotgate/gather/query.py
@@ -29,6 +29,7 @@
 RETURN_MARGIN_S = 0.005
 RETRY_AFTER_S = 0.02
 MAX_TRIES = 6
+SLOWER_FACTOR = 4.0
 CONGESTED_SHARE = 0.2
 CONGESTION_REASONS = frozenset({Reason.EXPIRED_IN_QUEUE, Reason.QUEUE_FULL, Reason.SERVER_SHED})
 FREE_RETRY_REASONS = PROVEN_NOT_RUN - {Reason.SERVER_SHED, Reason.SERVER_DRAINING}
@@ -371,20 +372,31 @@
             (attempt,) = state.attempts.values()
             if now - attempt.sent_at < late_s:
                 continue
-            self._tools.replicas.note_slow(
-                self._pool.name, attempt.candidate.server, now - attempt.sent_at
-            )
-            candidate = self._best(shard)
+            candidate = self._hedge_candidate(shard, attempt)
             if candidate is None or not self._tools.budget.take():
                 continue
             self._send([(shard, candidate)], "hedge", extra=True, hedge=True)
 
+    def _hedge_candidate(self, shard: int, attempt: _Attempt) -> Candidate | None:
+        """Another replica, or the same one again when the others are known to be far slower."""
+        other = self._best(shard)
+        if other is None:
+            return None
+        latency_of = self._tools.replicas.usual_latency_s
+        same_s = latency_of(self._pool.name, attempt.candidate.server)
+        if latency_of(self._pool.name, other.server) > SLOWER_FACTOR * same_s:
+            return attempt.candidate
+        return other
+
     def _cancel(self, shard: int) -> None:
         """Give up the attempts of a shard that is settled."""
         attempts = self._shards[shard].attempts
         for attempt in attempts.values():
+            server = attempt.candidate.server
+            waited_s = self._now() - attempt.sent_at
             self._shard_by_attempt.pop(attempt.number, None)
-            self._tools.replicas.note_dropped(self._pool.name, attempt.candidate.server)
+            self._tools.replicas.note_slow(self._pool.name, server, waited_s)
+            self._tools.replicas.note_dropped(self._pool.name, server)
             self._tools.dispatcher.cancel(attempt.candidate.vm, [attempt.number])
         attempts.clear()
 
@@ -392,11 +404,6 @@
         """Give up everything that is still on its way."""
         for shard, state in enumerate(self._shards):
             if state.attempts:
-                for attempt in state.attempts.values():
-                    waited_s = self._now() - attempt.sent_at
-                    self._tools.replicas.note_slow(
-                        self._pool.name, attempt.candidate.server, waited_s
-                    )
                 if state.reason == Reason.NONE or state.body is None:
                     state.reason = Reason.TIMED_OUT
                     state.ran = True
--- a/bergamotgate/gather/replicas.py
+++ b/bergamotgate/gather/replicas.py
@@ -11,6 +11,7 @@
 __all__ = ["Candidate", "ReplicaBook"]
 
 SMOOTHING = 0.2
+MOST_CHANGE = 3.0
 FORGET_AFTER_S = 10.0
 SNAPSHOT_MISSING_S = 1.0
 AVOID_S = 0.5
@@ -84,6 +85,12 @@
         shards = range(len(snapshot.servers_by_shard))
         return sum(1 for s in shards if self.candidates(tables, pool, snapshot, s, set()))
 
+    def usual_latency_s(self, pool: str, server: str) -> float:
+        """Recent latency of a backend server, in seconds."""
+        known = self._known(pool, server)
+        stale = self._clock.now() - known.seen_at > FORGET_AFTER_S
+        return UNKNOWN_LATENCY_S if stale else known.latency_s
+
     def note_sent(self, pool: str, server: str) -> None:
         """Count a sub-request on its way."""
         self._known(pool, server).outstanding += 1
@@ -111,20 +118,25 @@
 
     def note_slow(self, pool: str, server: str, at_least_s: float) -> None:
         """Learn that a reply takes longer than this, though it never came."""
+        now = self._clock.now()
         known = self._known(pool, server)
-        if at_least_s > known.latency_s:
-            self._learn_latency(known, at_least_s, self._clock.now())
+        if now - known.seen_at > FORGET_AFTER_S:
+            known.latency_s = max(at_least_s, known.latency_s / 2)
+            known.seen_at = now
+        elif at_least_s > known.latency_s:
+            self._learn_latency(known, at_least_s, now)
 
     def _learn_latency(self, known: _Known, latency_s: float, now: float) -> None:
         if now - known.seen_at > FORGET_AFTER_S:
             known.latency_s = latency_s
-        known.latency_s += SMOOTHING * (latency_s - known.latency_s)
+        # One stalled request says little of a server; a row of slow ones moves the value quickly.
+        sample_s = min(latency_s, MOST_CHANGE * known.latency_s)
+        known.latency_s += SMOOTHING * (sample_s - known.latency_s)
         known.seen_at = now
 
     def _cost(self, known: _Known, slots: int, now: float) -> float:
-        latency_s = known.latency_s
-        if now - known.seen_at > FORGET_AFTER_S:
-            latency_s = UNKNOWN_LATENCY_S
+        stale = now - known.seen_at > FORGET_AFTER_S
+        latency_s = UNKNOWN_LATENCY_S if stale else known.latency_s
         waiting = (known.outstanding + known.depth) / slots
         cost = latency_s * (1 + waiting) * (1 + JITTER * self._rng.random())
         return cost + (AVOID_COST_S if now < known.avoid_until else 0.0)
--- a/bergamotgate/standin/__main__.py
+++ b/bergamotgate/standin/__main__.py
@@ -18,8 +18,9 @@
 @click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path, exists=True))
 @click.option("--seed", default=1, show_default=True, help="First seed.")
 @click.option("--runs", default=1, show_default=True, help="Number of seeds to play.")
+@click.option("--naive", is_flag=True, help="Play the naive version instead.")
 @click.option("--log", is_flag=True, help="Show the nodes' logs.")
-def main(files: tuple[Path, ...], seed: int, runs: int, log: bool) -> None:
+def main(files: tuple[Path, ...], seed: int, runs: int, naive: bool, log: bool) -> None:
     """Play scenario FILES on virtual time; exit with 1 when anything did not hold."""
     if not log:
         logger.remove()
@@ -32,7 +33,7 @@
             sys.exit(EXIT_UNREADABLE)
         for number in range(seed, seed + runs):
             started = time.monotonic()
-            report = play(scenario, number)
+            report = play(scenario, number, naive=naive)
             word = "good" if report.good else "BAD"
             seconds = time.monotonic() - started
             click.echo(f"{path.stem} seed {number}: {word} ({seconds:.1f} s)\n{report.text()}")
--- a/bergamotgate/standin/fleet.py
+++ b/bergamotgate/standin/fleet.py
@@ -14,6 +14,7 @@
 from bergamotgate.settings import Settings
 from bergamotgate.standin.deployments import Deployment
 from bergamotgate.standin.memory import MemoryConnector, MemoryNetwork, NetworkFaults
+from bergamotgate.standin.naive import NaiveDesk
 from bergamotgate.standin.server import ServerLimits, StandinServer
 from bergamotgate.standin.virtual import VirtualLoop, vm_context
 
@@ -46,12 +47,14 @@
     node: Node | None = None
     connector: MemoryConnector | None = None
     context_name: str = ""
+    naive_desk: NaiveDesk | None = None
 
 
 class Fleet:
     """Starts, breaks and asks a fleet."""
 
-    def __init__(self, deployment: Deployment, vm_count: int, seed: int = 1):
+    def __init__(self, deployment: Deployment, vm_count: int, seed: int = 1, naive: bool = False):
+        self.naive = naive
         self.deployment = deployment
         self.clock = LoopClock()
         self.rng = random.Random(seed)
@@ -82,6 +85,7 @@
     def start_vm(self, vm: FleetVm) -> None:
         """Start a VM's process."""
         vm.starts += 1
+        vm.naive_desk = None
         vm.context_name = f"{vm.name}#{vm.starts}"
         vm.connector = MemoryConnector(vm.peer, self.server_by_address, self.faults, self.clock)
         vm_context(vm.context_name).run(self._start_node, vm)
@@ -148,8 +152,16 @@
         """Send a request to a VM; None when its process is gone."""
         if vm.node is None:
             return None
+        if self.naive:
+            return await self._in_vm(vm, self._naive_desk(vm).handle(request))
         return await self._in_vm(vm, vm.node.desk.handle(request))
 
+    def _naive_desk(self, vm: FleetVm) -> NaiveDesk:
+        """The naive version on the same VM, with the tables of the moment it was first asked."""
+        if vm.naive_desk is None:
+            vm.naive_desk = NaiveDesk(self._tables(), vm.connector, self.clock, vm.context_name)
+        return vm.naive_desk
+
     def addresses_of(self, vm: FleetVm, zone: str) -> dict | None:
         """What a VM says when it is asked for addresses; None when it sends callers elsewhere."""
         answer = vm_context(vm.context_name).run(vm.node.desk.addresses, zone)
--- a/bergamotgate/standin/memory.py
+++ b/bergamotgate/standin/memory.py
@@ -238,9 +238,7 @@
             soonest = loop.time() + self._faults.delay_s(self._own, self.peer)
             # Timers of one moment run in any order, but a stream keeps its own.
             self._last_arrival = max(soonest, self._last_arrival + ORDER_STEP_S)
-            loop.call_at(
-                self._last_arrival, self.other.arrive, data, context=contextvars.Context()
-            )
+            loop.call_at(self._last_arrival, self.other.arrive, data, context=contextvars.Context())
 
     async def receive(self) -> bytes:
         data = await self._inbox.get()
--- a/bergamotgate/standin/stage.py
+++ b/bergamotgate/standin/stage.py
@@ -83,15 +83,21 @@
         return "\n".join(lines)
 
 
-def play(scenario: Scenario, seed: int, sabotage: Callable[[Fleet], None] | None = None) -> Report:
+def play(
+    scenario: Scenario,
+    seed: int,
+    sabotage: Callable[[Fleet], None] | None = None,
+    naive: bool = False,
+) -> Report:
     """Play a scenario on virtual time.
 
     Args:
         scenario: What happens.
         seed: Seed of all randomness.
         sabotage: Puts deliberate faults into the stand-ins, to show that checks see them.
+        naive: Whether requests go to the naive version on the same VMs instead.
     """
-    return run_virtual(lambda: _Stage(scenario, seed, sabotage).run())
+    return run_virtual(lambda: _Stage(scenario, seed, sabotage, naive).run())
 
 
 class _FleetTransport:
@@ -136,11 +142,17 @@
 class _Stage:
     """One run of a scenario."""
 
-    def __init__(self, scenario: Scenario, seed: int, sabotage: Callable[[Fleet], None] | None):
+    def __init__(
+        self,
+        scenario: Scenario,
+        seed: int,
+        sabotage: Callable[[Fleet], None] | None,
+        naive: bool,
+    ):
         self._scenario = scenario
         self._rng = random.Random(seed)
         self._deployment = _deployment(scenario)
-        self._fleet = Fleet(self._deployment, scenario.vms, seed)
+        self._fleet = Fleet(self._deployment, scenario.vms, seed, naive)
         self._sabotage = sabotage
         self._records: list[RequestRecord] = []
         self._no_work: list[NoWorkSpan] = []
