Keep goodput under overload: refuse early, use free slots first, order queues strictly

Change: a timeout counts as silence only after four usual service times; work that cannot be answered in time is declined unsent; first attempts run only in a free slot, else move to the other replica, else queue; limiters per class, started from the pool's capacity, with a mild and a strong decrease; queues are ordered by class, then by query, with every eighth waiting patient query promoted.

--- a/bergamotgate/admission/job.py
+++ b/bergamotgate/admission/job.py
@@ -7,7 +7,7 @@
 from bergamotgate.backend.connection import BackendConnection
 from bergamotgate.wire.generated.ttypes import Outcome, Reason
 
-__all__ = ["Job", "JobResult", "JobStage"]
+__all__ = ["Job", "JobResult", "JobStage", "QueuePlace"]
 
 
 class JobStage(Enum):
@@ -28,6 +28,7 @@
         body: The answer.
         wait_s: Time in the queue.
         service_s: Time at the backend server.
+        depth: Jobs that wait or run at the server.
     """
 
     outcome: Outcome
@@ -35,6 +36,20 @@
     body: bytes = b""
     wait_s: float = 0.0
     service_s: float = 0.0
+    depth: int = 0
+
+
+@dataclass(frozen=True, order=True)
+class QueuePlace:
+    """Place in a queue: the smaller patience first, then the earlier query.
+
+    Attributes:
+        patience_ms: Patience of the class.
+        began_at: When the query came to its gateway, in seconds.
+    """
+
+    patience_ms: int
+    began_at: float
 
 
 @dataclass(eq=False)
@@ -49,7 +64,7 @@
         arrived_at: When it came, in seconds.
         deadline: When its answer is worthless, in seconds.
         order: Place in the queue; smaller goes first.
-        hedge: Whether it may only run in a free slot of a warm server.
+        only_if_free: Whether it is declined when no slot is free at once.
         repeatable: Whether it may reach the server more than once.
         key: The caller's idempotency key.
         on_done: Called once with the result.
@@ -61,8 +76,8 @@
     body: bytes
     arrived_at: float
     deadline: float
-    order: float
-    hedge: bool
+    order: QueuePlace
+    only_if_free: bool
     repeatable: bool
     key: str
     on_done: Callable[[JobResult], None]
@@ -76,6 +91,6 @@
             self.stage = JobStage.DONE
             self.on_done(result)
 
-    def decline(self, reason: Reason) -> None:
+    def decline(self, reason: Reason, depth: int = 0) -> None:
         """End a job that was never sent."""
-        self.finish(JobResult(Outcome.NOT_RUN, reason))
+        self.finish(JobResult(Outcome.NOT_RUN, reason, depth=depth))
--- a/bergamotgate/admission/queue.py
+++ b/bergamotgate/admission/queue.py
@@ -1,13 +1,13 @@
 """Jobs in the order in which they go to a backend server.
 
-A job's place is its arrival plus the patience of its class: an urgent job passes patient ones that
-came a little earlier, and a patient job that has waited out its patience passes urgent ones.
+The more urgent class goes first, then the earlier query. Gateways promote a part of the patient
+queries to the most urgent place, the same at every owner, so that patience is no starvation.
 """
 
 import heapq
 import itertools
 
-from bergamotgate.admission.job import Job, JobStage
+from bergamotgate.admission.job import Job, JobStage, QueuePlace
 from bergamotgate.wire.generated.ttypes import Reason
 
 __all__ = ["JobQueue", "MAX_QUEUED_JOBS"]
@@ -20,7 +20,7 @@
 
     def __init__(self, limit: int = MAX_QUEUED_JOBS):
         self._limit = limit
-        self._heap: list[tuple[float, int, Job]] = []
+        self._heap: list[tuple[QueuePlace, int, Job]] = []
         self._count = itertools.count()
         self._waiting = 0
 
@@ -35,13 +35,18 @@
             last = max(entry for entry in self._heap if entry[2].stage is JobStage.QUEUED)
             self._drop(last[2], Reason.QUEUE_FULL)
 
-    def pop(self, now: float) -> Job | None:
-        """The next job whose deadline has not passed; those that expired are declined."""
+    def pop(self, now: float, needs_s: float = 0.0) -> Job | None:
+        """The next job that can be answered in time; those that cannot are declined.
+
+        Args:
+            now: The time in seconds.
+            needs_s: Least time that an answer takes.
+        """
         while self._heap:
             job = heapq.heappop(self._heap)[2]
             if job.stage is not JobStage.QUEUED:
                 continue
-            if job.deadline <= now:
+            if job.deadline <= now + needs_s:
                 self._drop(job, Reason.EXPIRED_IN_QUEUE)
                 continue
             self._waiting -= 1
--- a/bergamotgate/admission/server.py
+++ b/bergamotgate/admission/server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 
 from bergamotgate.admission.job import Job, JobResult, JobStage
 from bergamotgate.admission.pressure import Pressure
@@ -26,7 +27,10 @@
 
 MAX_IDLE_S = 30.0
 LINGER_CLOSED_S = 0.25
+LINGER_SLOW_S = 1.0
 LINGER_SILENT_S = 30.0
+SILENT_FACTOR = 4.0
+WORTH_SHARE = 0.8
 CONNECT_REST_S = 0.1
 RECHECK_S = 0.1
 
@@ -76,8 +80,8 @@
 
     def submit(self, job: Job) -> None:
         """Take in a job; its result comes by its callback."""
-        if job.hedge and not self._has_free_slot():
-            job.decline(Reason.NO_FREE_SLOT)
+        if job.only_if_free and not self._has_free_slot():
+            job.decline(Reason.NO_FREE_SLOT, self.depth)
             return
         if self._may_never_send():
             job.decline(Reason.OWNER_NOT_READY)
@@ -107,7 +111,7 @@
         while len(self.queue) and self.running < self.allowance():
             if not self._idle and not self._may_open():
                 break
-            job = self.queue.pop(self._clock.now())
+            job = self.queue.pop(self._clock.now(), WORTH_SHARE * self.warmth.usual_s)
             if job is None:
                 break
             self._start(job)
@@ -129,6 +133,11 @@
         self.queue.decline_all(reason)
         self.close_idle()
 
+    @property
+    def depth(self) -> int:
+        """Jobs that wait or run."""
+        return len(self.queue) + self.running
+
     @property
     def open_connections(self) -> int:
         """Connections that the server may still count as open."""
@@ -206,8 +215,7 @@
         except ConnectionDied:
             result = JobResult(Outcome.UNKNOWN, self._death_reason(job))
         except ExchangeTimedOut:
-            linger_s = LINGER_SILENT_S
-            self._on_silence(self)
+            linger_s = self._linger_after_timeout(job)
             result = JobResult(Outcome.UNKNOWN, Reason.TIMED_OUT)
         except WrongReply:
             result = JobResult(Outcome.UNKNOWN, Reason.WRONG_REPLY)
@@ -216,7 +224,19 @@
         else:
             self._discard(connection, linger_s)
         service_s = self._clock.now() - job.started_at
-        return JobResult(result.outcome, result.reason, result.body, wait_s, service_s)
+        return replace(result, wait_s=wait_s, service_s=service_s, depth=self.depth - 1)
+
+    def _linger_after_timeout(self, job: Job) -> float:
+        """How long the server may go on counting a connection that gave no reply in time.
+
+        A connection that stayed mute for several usual service times has gone silent, and the
+        server may not even see it closed. With less time than that the server was merely slow.
+        """
+        waited_s = self._clock.now() - job.started_at
+        if waited_s < SILENT_FACTOR * self.warmth.usual_s:
+            return LINGER_SLOW_S
+        self._on_silence(self)
+        return LINGER_SILENT_S
 
     def _may_keep(self, job: Job, result: JobResult) -> bool:
         """Whether the connection may carry another request.
--- a/bergamotgate/admission/service.py
+++ b/bergamotgate/admission/service.py
@@ -8,7 +8,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
-from bergamotgate.admission.job import Job, JobResult
+from bergamotgate.admission.job import Job, JobResult, QueuePlace
 from bergamotgate.admission.owner import Owner
 from bergamotgate.admission.server import OwnedServer
 from bergamotgate.clock import Clock, milliseconds
@@ -82,15 +82,15 @@
             body=batch.body,
             arrived_at=now,
             deadline=now + batch.budget_ms / 1000,
-            order=now + batch.patience_ms / 1000,
-            hedge=item.hedge,
+            order=QueuePlace(batch.patience_ms, now - batch.age_ms / 1000),
+            only_if_free=item.only_if_free,
             repeatable=batch.repeatable,
             key=batch.key or "",
             on_done=lambda result: self._finished(item.attempt, result),
         )
 
     def _finished(self, attempt: int, result: JobResult) -> None:
-        job, owned = self._placed_by_attempt.pop(attempt, (None, None))
+        job, _ = self._placed_by_attempt.pop(attempt, (None, None))
         if job is None:
             return
         reply = SubReply(
@@ -100,7 +100,7 @@
             milliseconds(result.wait_s),
             milliseconds(result.service_s),
             result.body or None,
-            len(owned.queue) if owned is not None else 0,
+            result.depth,
         )
         self._recent_by_attempt[attempt] = reply
         if len(self._recent_by_attempt) > REMEMBERED_REPLIES:
--- a/bergamotgate/admission/warmth.py
+++ b/bergamotgate/admission/warmth.py
@@ -32,6 +32,11 @@
         """Whether the server bears its full slots."""
         return self._answers_in_row >= self._warm_after
 
+    @property
+    def usual_s(self) -> float:
+        """Usual service time in seconds; 0 while unknown."""
+        return self._usual_s or 0.0
+
     def chill(self) -> None:
         """Take the server as cold."""
         self._answers_in_row = 0
--- a/bergamotgate/gather/gatherer.py
+++ b/bergamotgate/gather/gatherer.py
@@ -2,13 +2,14 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 from bergamotgate.clock import Clock
-from bergamotgate.config.tables import Pool, Snapshot, Tables
+from bergamotgate.config.tables import Pool, Route, Snapshot, Tables
 from bergamotgate.gather.budget import ExtraBudget
 from bergamotgate.gather.dispatcher import Dispatcher
 from bergamotgate.gather.latency import RecentLatency
-from bergamotgate.gather.limiter import QueryLimiter
+from bergamotgate.gather.limiter import Congestion, QueryLimiter
 from bergamotgate.gather.query import PoolTools, Query, QueryAnswer, QueryRequest
 from bergamotgate.gather.replicas import ReplicaBook
 from bergamotgate.metrics import Metrics
@@ -31,6 +32,7 @@
         tables: Callable[[], Tables | None],
         replicas: ReplicaBook,
         dispatcher: Dispatcher,
+        gateways: Callable[[], int],
         quarantine: QuarantineBook,
         clock: Clock,
         rng: random.Random,
@@ -39,34 +41,59 @@
         self._tables = tables
         self._replicas = replicas
         self._dispatcher = dispatcher
+        self._gateways = gateways
         self._quarantine = quarantine
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
         self._tools_by_pool: dict[str, PoolTools] = {}
-        self._limiter_by_pool: dict[str, QueryLimiter] = {}
+        self._limiter_by_class: dict[tuple[str, int], QueryLimiter] = {}
 
     async def run(self, request: QueryRequest) -> Result:
         """Answer one request, or refuse it and say whether it can have run."""
         suspicion = self._quarantine.judge(request.fingerprint, request.route.urgency.canary)
         if suspicion.refused:
             return NotRun(NotRunReason.QUARANTINED)
-        limiter = self.limiter(request.route.pool)
-        order = request.arrived_at + request.route.urgency.patience_ms / 1000
-        if not await limiter.admit(order, request.deadline):
+        limiter = self._limiter(request.route)
+        admitted = await limiter.admit(request.deadline)
+        if admitted is None:
             return NotRun(NotRunReason.OVERLOADED)
-        congested = True
+        request = replace(request, promoted=admitted.promoted)
+        began_at = self._clock.now()
+        congestion = Congestion.EXPIRY
+        whole_in_s: float | None = None
         try:
-            result, congested = await self._run_admitted(request, suspicion)
+            result, congestion = await self._run_admitted(request, suspicion)
+            if isinstance(result, QueryAnswer) and not result.missing:
+                whole_in_s = self._clock.now() - began_at
         finally:
-            limiter.leave(congested)
+            limiter.leave(congestion, whole_in_s)
         return result
 
-    def limiter(self, pool: str) -> QueryLimiter:
-        """The limiter of a pool."""
-        if pool not in self._limiter_by_pool:
-            self._limiter_by_pool[pool] = QueryLimiter(self._clock)
-        return self._limiter_by_pool[pool]
+    def limits(self) -> dict[str, int]:
+        """Queries that may be in progress, by pool and patience of the class."""
+        return {
+            f"{pool}/{patience_ms}": limiter.limit
+            for (pool, patience_ms), limiter in self._limiter_by_class.items()
+        }
+
+    def _limiter(self, route: Route) -> QueryLimiter:
+        key = (route.pool, route.urgency.patience_ms)
+        limiter = self._limiter_by_class.get(key)
+        if limiter is None:
+            capacity = self._capacity(route.pool)
+            limiter = QueryLimiter(self._clock, capacity, self._gateways())
+            self._limiter_by_class[key] = limiter
+        return limiter
+
+    def _capacity(self, pool_name: str) -> int:
+        """Queries that the slots of a pool can run at a time, by its least served shard."""
+        tables = self._tables()
+        pool = tables.pool_by_name.get(pool_name) if tables is not None else None
+        if pool is None:
+            return 0
+        rows = pool.snapshots[0].servers_by_shard
+        return pool.slots * min(len(row) for row in rows)
 
     def budget(self, pool: str) -> ExtraBudget:
         """The budget of a pool."""
@@ -74,14 +101,14 @@
 
     async def _run_admitted(
         self, request: QueryRequest, suspicion: Suspicion
-    ) -> tuple[Result, bool]:
+    ) -> tuple[Result, Congestion]:
         tables = self._tables()
         pool = tables.pool_by_name.get(request.route.pool) if tables is not None else None
         if pool is None:
-            return NotRun(NotRunReason.NO_SERVER), False
+            return NotRun(NotRunReason.NO_SERVER), Congestion.NONE
         result: Result = NotRun(NotRunReason.NO_SERVER)
         ruled_out: set[str] = set()
-        congested = False
+        congestion = Congestion.NONE
         for _ in range(MAX_SNAPSHOTS_TRIED):
             snapshot = self._choose_snapshot(tables, pool, ruled_out)
             if snapshot is None or request.deadline - self._clock.now() < LEAST_TIME_S:
@@ -89,11 +116,11 @@
             tools = self._pool_tools(pool.name)
             query = Query(request, tables, pool, snapshot, suspicion, tools)
             result = _better(result, await query.run())
-            congested = congested or query.congested
+            congestion = max(congestion, query.congestion)
             ruled_out.add(snapshot.name)
             if not self._worth_another(query, request, pool, ruled_out):
                 break
-        return result, congested
+        return result, congestion
 
     def _worth_another(
         self, query: Query, request: QueryRequest, pool: Pool, ruled_out: set[str]
--- a/bergamotgate/gather/query.py
+++ b/bergamotgate/gather/query.py
@@ -10,6 +10,7 @@
 from bergamotgate.gather.budget import ExtraBudget
 from bergamotgate.gather.dispatcher import Dispatcher
 from bergamotgate.gather.latency import RecentLatency
+from bergamotgate.gather.limiter import Congestion
 from bergamotgate.gather.replicas import Candidate, ReplicaBook
 from bergamotgate.metrics import Metrics
 from bergamotgate.outcomes import (
@@ -30,7 +31,7 @@
 RETRY_AFTER_S = 0.02
 MAX_TRIES = 6
 SLOWER_FACTOR = 4.0
-CONGESTED_SHARE = 0.2
+CONGESTED_SHARE = 0.3
 CONGESTION_REASONS = frozenset({Reason.EXPIRED_IN_QUEUE, Reason.QUEUE_FULL, Reason.SERVER_SHED})
 FREE_RETRY_REASONS = PROVEN_NOT_RUN - {Reason.SERVER_SHED, Reason.SERVER_DRAINING}
 
@@ -46,6 +47,7 @@
         deadline: When its answer is worthless, in seconds.
         fingerprint: Hash of route and body.
         key: The caller's idempotency key; empty for none.
+        promoted: Whether it takes the most urgent place in queues whatever its class.
     """
 
     route: Route
@@ -54,6 +56,7 @@
     deadline: float
     fingerprint: str
     key: str = ""
+    promoted: bool = False
 
 
 @dataclass(frozen=True)
@@ -150,7 +153,7 @@
         self._answered = 0
         self._hedge_at = float("inf")
         self._settle_at = float("inf")
-        self.congested = False
+        self.congestion = Congestion.NONE
 
     @property
     def lacks_snapshot(self) -> bool:
@@ -220,7 +223,7 @@
             else:
                 chosen.append((shard, candidate))
         self._tools.budget.note_first(len(chosen))
-        self._send(chosen, "first", extra=False, hedge=False)
+        self._send(chosen, "first", extra=False, only_if_free=True)
         if self._urgency.hedging and not self._suspicion.suspected:
             self._hedge_at = self._now() + self._tools.latency.late_after_s()
 
@@ -232,7 +235,7 @@
         return found[0] if found else None
 
     def _send(
-        self, chosen: list[tuple[int, Candidate]], kind: str, extra: bool, hedge: bool
+        self, chosen: list[tuple[int, Candidate]], kind: str, extra: bool, only_if_free: bool
     ) -> None:
         """Send sub-requests, one batch for each owner."""
         now = self._now()
@@ -242,11 +245,12 @@
             state = self._shards[shard]
             state.attempts[number] = _Attempt(number, shard, candidate, now, extra)
             state.tried.add(candidate.server)
-            state.tries += 1
+            state.tries += kind in ("first", "retry")
             state.retry_at = None
             self._shard_by_attempt[number] = shard
             self._tools.replicas.note_sent(self._pool.name, candidate.server)
-            items_by_vm[candidate.vm].append(SubRequest(number, candidate.server, shard, hedge))
+            item = SubRequest(number, candidate.server, shard, only_if_free)
+            items_by_vm[candidate.vm].append(item)
         self._tools.metrics.sub_requests.labels(self._pool.name, kind).inc(len(chosen))
         for vm, items in items_by_vm.items():
             self._tools.dispatcher.send(vm, self._batch(items, now), self._receive)
@@ -257,7 +261,8 @@
             pool=self._pool.name,
             snapshot=self._snapshot.name,
             budget_ms=max(1, milliseconds(self._request.deadline - now - RETURN_MARGIN_S)),
-            patience_ms=self._urgency.patience_ms - milliseconds(elapsed_s),
+            patience_ms=0 if self._request.promoted else self._urgency.patience_ms,
+            age_ms=milliseconds(elapsed_s),
             repeatable=self._urgency.repeatable,
             body=self._request.body,
             items=items,
@@ -317,14 +322,31 @@
                 self._request.fingerprint, self._suspicion
             )
         if state.body is None and not state.attempts:
-            self._plan_retry(shard, reason)
-            self._progress.set()
+            if reason == Reason.NO_FREE_SLOT:
+                self._place_elsewhere(shard)
+            else:
+                self._plan_retry(shard, reason)
+                self._progress.set()
+
+    def _place_elsewhere(self, shard: int) -> None:
+        """Use a free slot of another replica, else wait in the queue of the least busy one."""
+        state = self._shards[shard]
+        state.reason = Reason.NO_FREE_SLOT
+        candidate = self._best(shard)
+        if candidate is not None:
+            self._send([(shard, candidate)], "moved", extra=False, only_if_free=True)
+            return
+        state.tried.clear()
+        candidate = self._best(shard)
+        if candidate is None:
+            self._plan_retry(shard, Reason.OWNER_NOT_READY)
+        else:
+            self._send([(shard, candidate)], "queued", extra=False, only_if_free=False)
 
     def _plan_retry(self, shard: int, reason: Reason) -> None:
         """Decide when a shard without attempt is asked again, or give it up."""
         state = self._shards[shard]
-        if reason != Reason.NO_FREE_SLOT or state.reason == Reason.NONE:
-            state.reason = reason
+        state.reason = reason
         if not self._may_retry(state, reason):
             state.given_up = True
             return
@@ -357,7 +379,7 @@
                 state.retry_at = now + RETRY_AFTER_S
                 continue
             self._tools.metrics.retries.labels(self._pool.name, reason_name(state.reason)).inc()
-            self._send([(shard, candidate)], "retry", extra, hedge=False)
+            self._send([(shard, candidate)], "retry", extra, only_if_free=False)
 
     def _hedge_stragglers(self, now: float) -> None:
         """Ask another replica for each shard that is late, as far as the budget goes."""
@@ -375,7 +397,7 @@
             candidate = self._hedge_candidate(shard, attempt)
             if candidate is None or not self._tools.budget.take():
                 continue
-            self._send([(shard, candidate)], "hedge", extra=True, hedge=True)
+            self._send([(shard, candidate)], "hedge", extra=True, only_if_free=True)
 
     def _hedge_candidate(self, shard: int, attempt: _Attempt) -> Candidate | None:
         """Another replica, or the same one again when the others are known to be far slower."""
@@ -412,9 +434,10 @@
 
     def _note_congestion(self, reply: SubReply) -> None:
         deadline_s = self._urgency.deadline_ms / 1000
-        waited = reply.wait_ms / 1000 > CONGESTED_SHARE * deadline_s
-        if waited or reply.reason in CONGESTION_REASONS:
-            self.congested = True
+        if reply.reason in CONGESTION_REASONS:
+            self.congestion = Congestion.EXPIRY
+        elif reply.wait_ms / 1000 > CONGESTED_SHARE * deadline_s:
+            self.congestion = max(self.congestion, Congestion.QUEUES)
 
     def _result(self) -> QueryAnswer | Refusal:
         bodies = {n: s.body for n, s in enumerate(self._shards) if s.body is not None}
--- a/bergamotgate/gather/replicas.py
+++ b/bergamotgate/gather/replicas.py
@@ -10,6 +10,7 @@
 
 __all__ = ["Candidate", "ReplicaBook"]
 
+BUSY_REASONS = frozenset({Reason.NO_FREE_SLOT, Reason.EXPIRED_IN_QUEUE, Reason.QUEUE_FULL})
 SMOOTHING = 0.2
 MOST_CHANGE = 3.0
 FORGET_AFTER_S = 10.0
@@ -113,7 +114,7 @@
             known.avoid_until = float("-inf")
         elif reply.reason == Reason.SNAPSHOT_MISSING:
             known.lacks_until_by_snapshot[snapshot] = now + SNAPSHOT_MISSING_S
-        elif reply.reason != Reason.NO_FREE_SLOT:
+        elif reply.reason not in BUSY_REASONS:
             known.avoid_until = now + AVOID_S
 
     def note_slow(self, pool: str, server: str, at_least_s: float) -> None:
--- a/bergamotgate/node/node.py
+++ b/bergamotgate/node/node.py
@@ -214,6 +214,7 @@
             lambda: self.tables.tables,
             self.replicas,
             dispatcher,
+            lambda: 1 + len(self._peer_addresses()),
             self.quarantine,
             clock,
             rng,
--- a/bergamotgate/node/status.py
+++ b/bergamotgate/node/status.py
@@ -31,7 +31,7 @@
         "members": {m.vm: m.state.name.lower() for m in node.members.all()},
         "groups": _groups(node),
         "servers": _servers(node),
-        "limits": _limits(node),
+        "limits": node.gatherer.limits(),
     }
 
 
@@ -55,9 +55,3 @@
         }
         for owned in node.owner.owned()
     }
-
-
-def _limits(node: "Node") -> dict[str, int]:
-    tables = node.tables.tables
-    names = tables.pool_by_name if tables is not None else ()
-    return {name: node.gatherer.limiter(name).limit for name in names}
--- a/bergamotgate/standin/scenario.py
+++ b/bergamotgate/standin/scenario.py
@@ -69,6 +69,7 @@
         metric: Name of the quantity.
         comparison: ``<=``, ``>=`` or ``=``.
         bound: The bound.
+        route: Only requests of this route count; empty for all.
         start: Only requests sent from this second on count.
         end: Only requests sent before this second count.
     """
@@ -76,6 +77,7 @@
     metric: str
     comparison: str
     bound: float
+    route: str = ""
     start: float = 0.0
     end: float = float("inf")
 
@@ -89,7 +91,8 @@
 
     def __str__(self) -> str:
         span = f" from {self.start:g} s to {self.end:g} s" if self.end < float("inf") else ""
-        return f"{self.metric} {self.comparison} {self.bound:g}{span}"
+        route = f" of {self.route}" if self.route else ""
+        return f"{self.metric} {self.comparison} {self.bound:g}{route}{span}"
 
 
 @dataclass
@@ -98,6 +101,7 @@
 
     vms: int = 6
     pools: list[PoolSpec] = field(default_factory=list)
+    service_s_by_pool: dict[str, float] = field(default_factory=dict)
     class_options: dict[str, dict[str, Any]] = field(default_factory=dict)
     loads: list[Load] = field(default_factory=list)
     actions: list[Action] = field(default_factory=list)
@@ -144,7 +148,9 @@
         self._scenario.vms = int(children[0])
 
     def pool(self, children: list) -> None:
-        name, shards, replicas, slots, connections, snapshots = children
+        name, shards, replicas, slots, connections, snapshots, takes_ms = children
+        if takes_ms is not None:
+            self._scenario.service_s_by_pool[str(name)] = float(takes_ms) / 1000
         sharded = int(shards) > 0
         self._scenario.pools.append(
             PoolSpec(
@@ -184,10 +190,10 @@
         self._scenario.actions.append(Action(at, kind, arguments))
 
     def expect(self, children: list) -> None:
-        metric, comparison, bound, start, end = children
+        metric, comparison, bound, route, start, end = children
         span = (start, end) if end is not None else ()
         self._scenario.expectations.append(
-            Expectation(str(metric), str(comparison), float(bound), *span)
+            Expectation(str(metric), str(comparison), float(bound), str(route or ""), *span)
         )
 
     def zones(self, children: list) -> tuple[str, ...]:
--- a/bergamotgate/standin/stage.py
+++ b/bergamotgate/standin/stage.py
@@ -165,6 +165,9 @@
     async def run(self) -> Report:
         """Play everything and judge it."""
         await self._fleet.start(START_S)
+        for pool, seconds in self._scenario.service_s_by_pool.items():
+            for name in self._deployment.pools["pools"][pool]["servers"]:
+                self._server(name).behaviour.service_s = seconds
         if self._sabotage is not None:
             self._sabotage(self._fleet)
         self._zero = self._now()
@@ -395,7 +398,11 @@
         failed = []
         for expectation in self._scenario.expectations:
             start, end = self._zero + expectation.start, self._zero + expectation.end
-            records = [r for r in self._records if start <= r.sent_at < end]
+            records = [
+                r
+                for r in self._records
+                if start <= r.sent_at < end and expectation.route in ("", r.route)
+            ]
             value = self._measures(servers, records)[expectation.metric]
             if not expectation.holds(value):
                 failed.append(f"{expectation}, measured {value:.4g}")
@@ -416,6 +423,7 @@
         total = max(1, len(records))
         latencies = sorted(r.done_at - r.sent_at for r in records) or [0.0]
         results = [r.result for r in records]
+        refusals = [r.done_at - r.sent_at for r in records if r.result.outcome == "not_run"]
         runs = sum(len(server.observed.runs) for server in servers)
         needed = sum(r.total_shards for r in results if r.answered) or 1
         return {
@@ -424,6 +432,8 @@
             "lost": sum(r.reason in LOST_REASONS for r in results) / total,
             "unknown": sum(r.outcome == "unknown" for r in results) / total,
             "refused": sum(r.outcome == "not_run" for r in results) / total,
+            "goodput": sum(r.whole for r in results) / _span_s(records),
+            "refusal_ms": 1000 * max(refusals, default=0.0),
             "p50_ms": 1000 * latencies[len(latencies) // 2],
             "p99_ms": 1000 * latencies[int(len(latencies) * 0.99)],
             "extra": max(0.0, runs / needed - 1),
@@ -510,6 +520,12 @@
         self.longest_disagreement_s = max(self.longest_disagreement_s, now - self._disagree_since)
 
 
+def _span_s(records: list[RequestRecord]) -> float:
+    """Seconds from the first to the last sending."""
+    sent = [record.sent_at for record in records]
+    return max(1.0, max(sent) - min(sent)) if sent else 1.0
+
+
 def _deployment(scenario: Scenario) -> Deployment:
     routes = {
         "classes": {name: dict(options) for name, options in DEFAULT_ROUTES["classes"].items()},
--- a/idl/bergamotgate.thrift
+++ b/idl/bergamotgate.thrift
@@ -77,7 +77,7 @@
   1: required i64 attempt
   2: required string server
   3: required i32 shard
-  4: required bool hedge
+  4: required bool only_if_free
 }
 
 struct Batch {
@@ -89,6 +89,7 @@
   6: required binary body
   7: required list<SubRequest> items
   8: optional string key
+  9: required i32 age_ms
 }
 
 struct SubReply {
