Say not run of a keyed request only where the keeper was asked

Change: a VM that refuses before it asks the keeper says unknown (keeper_unasked) unless it is the first sending; the caller library keeps an earlier unknown outcome of a request without key.

--- a/bergamotgate/caller/caller.py
+++ b/bergamotgate/caller/caller.py
@@ -146,7 +146,7 @@
         """
         key: str | None = None
         key_sendings = 0
-        result = CallerResult(False, "unknown", "no_answer")
+        result = CallerResult(False, "not_run", "not_sent")
         for sending in range(1, MAX_SENDINGS + 1):
             await self._refresh()
             if once and key is None:
@@ -157,7 +157,8 @@
             headers = _headers(deadline_ms, key, key_sendings)
             timeout_s = deadline_ms / 1000 + ANSWER_MARGIN_S
             message = _Message(method, path, body, headers, timeout_s)
-            result = replace(await self._send_to(address, message), sendings=sending)
+            last = await self._send_to(address, message)
+            result = _combined(result, replace(last, sendings=sending), key is not None)
             if result.answered:
                 return result
             if result.reason in KEEPER_TROUBLE:
@@ -196,9 +197,9 @@
         return _Message("GET", f"/-/addresses?zone={self._zone}", b"", {}, ADDRESS_TIMEOUT_S)
 
     def _worth_sending_again(self, result: CallerResult) -> bool:
-        if result.reason == "no_answer":
+        if result.reason in ("no_answer", "keeper_unasked"):
             return True
-        return result.outcome == "not_run" and result.reason in PASSING_REASONS
+        return result.reason in PASSING_REASONS
 
     def _new_key(self) -> str | None:
         """A key under the current token; None when no VM gave one."""
@@ -230,6 +231,17 @@
         self._keep_until = float("-inf")
 
 
+def _combined(earlier: CallerResult, last: CallerResult, keyed: bool) -> CallerResult:
+    """The last result, in the light of the one before.
+
+    With a key the fleet itself knows of earlier sendings. Without one, a refusal speaks only of its
+    own sending, and an earlier one whose outcome is unknown may have run.
+    """
+    if not keyed and earlier.outcome == "unknown" and last.outcome == "not_run":
+        return replace(last, outcome="unknown")
+    return last
+
+
 def _headers(deadline_ms: int, key: str | None, key_sendings: int) -> dict[str, str]:
     headers = {"X-Deadline-Ms": str(deadline_ms)}
     if key is not None:
--- a/bergamotgate/front/desk.py
+++ b/bergamotgate/front/desk.py
@@ -141,17 +141,17 @@
     ) -> tuple[Route | None, CallerAnswer]:
         tables = self._tables()
         if tables is None:
-            return None, render(NotRun(NotRunReason.NO_CONFIGURATION))
+            return None, _refuse(request, NotRunReason.NO_CONFIGURATION)
         route = tables.route_by_match.get((request.method, request.path))
         if route is None:
-            return None, render(NotRun(NotRunReason.NO_ROUTE))
+            return None, _refuse(request, NotRunReason.NO_ROUTE)
         if not self.takes_requests():
             return route, self._send_elsewhere(request)
         deadline_s = self._deadline_s(request, route)
         if deadline_s is None:
-            return route, render(NotRun(NotRunReason.BAD_DEADLINE))
+            return route, _refuse(request, NotRunReason.BAD_DEADLINE)
         if len(request.body) > MAX_BODY_BYTES:
-            return route, render(NotRun(NotRunReason.BODY_TOO_LARGE))
+            return route, _refuse(request, NotRunReason.BODY_TOO_LARGE)
         query = self._query(route, request.body, started, started + deadline_s, request.key or "")
         if route.urgency.repeatable:
             return route, await self._answer(query)
@@ -161,7 +161,7 @@
         own = self._members.own
         others = [a for a in self._addresses.usable(own.zone) if a.vm != own.vm]
         if not others:
-            return render(NotRun(NotRunReason.DRAINING))
+            return _refuse(request, NotRunReason.DRAINING)
         return redirect(f"http://{others[0].http}{request.path}")
 
     def _deadline_s(self, request: CallerRequest, route: Route) -> float | None:
@@ -202,9 +202,7 @@
         keeper = self._members.get(key.token.vm)
         if keeper is None or keeper.boot != key.token.boot or not keeper.reachable:
             # No copy of a first sending can be on its way, and this one goes no further.
-            if request.first_sending:
-                return render(NotRun(NotRunReason.KEEPER_LEFT))
-            return render(Unknown(UnknownReason.KEEPER_GONE))
+            return _refuse(request, NotRunReason.KEEPER_LEFT, UnknownReason.KEEPER_GONE)
         return await self._relay(request, query, keeper)
 
     async def _keep(self, query: QueryRequest, key: RequestKey) -> CallerAnswer:
@@ -232,6 +230,20 @@
         return _relayed(reply)
 
 
+def _refuse(
+    request: CallerRequest,
+    reason: NotRunReason,
+    otherwise: UnknownReason = UnknownReason.KEEPER_UNASKED,
+) -> CallerAnswer:
+    """Refuse a request before it went any further.
+
+    An earlier sending of the same key may have run at its keeper, of which this VM knows nothing.
+    """
+    if request.key is None or request.first_sending:
+        return render(NotRun(reason))
+    return render(Unknown(otherwise))
+
+
 def _relayed(reply: KeeperReply) -> CallerAnswer:
     """A keeper's answer as if it had been made here."""
     fields = json.loads(reply.answer)
--- a/bergamotgate/outcomes.py
+++ b/bergamotgate/outcomes.py
@@ -47,6 +47,7 @@
     TIMED_OUT = "timed_out"
     CONNECTION_DIED = "connection_died"
     KEEPER_GONE = "keeper_gone"
+    KEEPER_UNASKED = "keeper_unasked"
     TOKEN_OUTLIVED = "token_outlived"
     SERVER_ERROR = "server_error"
     COVERAGE_BELOW = "coverage_below"
--- a/bergamotgate/standin/fleet.py
+++ b/bergamotgate/standin/fleet.py
@@ -121,8 +121,10 @@
 
     async def drain_vm(self, vm: FleetVm, wait_s: float = 10.0) -> bool:
         """Stop a VM gracefully; return whether it finished everything."""
+        draining = vm.context_name
         finished = await self._in_vm(vm, self._drain(vm.node, wait_s))
-        self.kill_vm(vm)
+        if vm.context_name == draining:
+            self.kill_vm(vm)
         return finished
 
     async def _drain(self, node: Node, wait_s: float) -> bool:
--- a/bergamotgate/standin/stage.py
+++ b/bergamotgate/standin/stage.py
@@ -183,10 +183,10 @@
         await asyncio.sleep(load.start)
         callers = self._callers()
         tasks = []
-        for _ in range(round((load.end - load.start) * load.per_second)):
+        for number in range(round((load.end - load.start) * load.per_second)):
             self._number += 1
             caller = self._rng.choice(callers)
-            body = f"{load.route}-{self._number}".encode()
+            body = f"{load.route}-{load.start:g}-{number}".encode()
             sending = self._send(caller, load.route, body, self._number)
             tasks.append(asyncio.ensure_future(sending))
             await asyncio.sleep(1 / load.per_second)
@@ -255,6 +255,8 @@
 
     def _do_drain(self, number: int) -> None:
         vm = self._vm(number)
+        if vm.node is None:
+            return
         self._drains.append(asyncio.ensure_future(self._fleet.drain_vm(vm)))
 
     async def _do_replace_all(self) -> None:
@@ -263,7 +265,8 @@
                 self._fleet.kill_vm(vm)
         await asyncio.sleep(1.0)
         for vm in self._fleet.vms:
-            self._fleet.start_vm(vm)
+            if vm.node is None:
+                self._fleet.start_vm(vm)
 
     async def _do_pause(self, number: int, seconds: float) -> None:
         vm = self._vm(number)
--- /dev/null
+++ b/tests/test_scenario_language.py
@@ -0,0 +1,46 @@
+from bergamotgate.standin.scenario import ScenarioError, read_scenario
+from bergamotgate.standin.stage import play
+from tests.support import cases, check
+
+SMALL = """
+# A comment.
+fleet 3 vms
+pool catalogue 2 shards 2 replicas 2 slots 25 connections snapshots s1 s2 takes 20 ms
+class urgent deadline_ms=300 wanted=0.5 hedging=no
+load search 5 per second from 0 s to 2 s
+at 1 s take zone b out
+at 1.5 s pause vm 2 for 0.5 s
+expect whole >= 0.5 of search from 0 s to 2 s
+expect lost = 0
+"""
+
+
+def test_all_parts_are_read():
+    scenario = read_scenario(SMALL)
+    check.assertEqual(3, scenario.vms)
+    check.assertEqual(("s1", "s2"), scenario.pools[0].snapshots)
+    check.assertEqual({"catalogue": 0.02}, scenario.service_s_by_pool)
+    check.assertEqual(False, scenario.class_options["urgent"]["hedging"])
+    check.assertEqual(["zone_out", "pause"], [action.kind for action in scenario.actions])
+    check.assertEqual("search", scenario.expectations[0].route)
+    check.assertEqual(2.0, scenario.end)
+
+
+def test_garbage_is_an_error_with_its_place():
+    with check.assertRaisesRegex(ScenarioError, "line 2"):
+        read_scenario("fleet 3 vms\nfleet many vms\n")
+
+
+def test_a_seed_gives_the_same_run_again():
+    one, other = (play(read_scenario(SMALL), 5) for _ in range(2))
+    check.assertEqual(one.measures, other.measures)
+    check.assertEqual(one.records, other.records)
+
+
+def test_an_expectation_that_does_not_hold_is_reported():
+    report = play(read_scenario(SMALL + "expect p50_ms <= 1\n"), 5)
+    check.assertIn("p50_ms <= 1", report.failed[-1])
+    check.assertFalse(report.good)
+
+
+load_tests = cases(globals())
