Claim not run after a failed connect only with the transfer's times at hand

Cause: a test against real sockets showed that a request which timed out at a backend server counted as never sent: the HTTP library attaches the transfer's times to an error only when it raises for statuses too, so 'no connect time' was always true. That is a false 'not run'. Also a refused TCP connection came wrapped and was taken for silence, so that no process was ever seen to have ended on real sockets. Change: statuses raise and their responses are read from the error; without times nothing is claimed; the wrapped refusal is looked into.

--- a/bergamotgate/backend/curl.py
+++ b/bergamotgate/backend/curl.py
@@ -94,18 +94,21 @@
             prepare_curl_callback=lambda curl: _prepare(curl, request.repeatable),
         )
         try:
-            response = await self._client.fetch(message, raise_error=False)
+            response = await self._client.fetch(message)
         except CurlError as error:
             raise self._failure(error, request.repeatable) from error
         except HTTPError as error:
-            raise ConnectionDied(self._address, error) from error
+            if error.response is None:
+                raise ConnectionDied(self._address, error) from error
+            response = error.response
         self.used = True
         return self._reply(request, response)
 
     def _failure(self, error: CurlError, repeatable: bool) -> Exception:
         fresh = not self.used or not repeatable
-        connected = bool(error.response and error.response.time_info.get("connect"))
-        if fresh and not connected:
+        # Without the transfer's times nothing is known, so nothing is claimed.
+        never_connected = error.response is not None and not error.response.time_info["connect"]
+        if fresh and never_connected:
             return ConnectionRefused(self._address, error)
         if error.errno == pycurl.E_OPERATION_TIMEDOUT:
             return ExchangeTimedOut(self._address, error)
--- a/bergamotgate/standin/stage.py
+++ b/bergamotgate/standin/stage.py
@@ -318,6 +318,8 @@
     def _do_snapshot_build(self, snapshot: str, shards: int, pool_name: str) -> None:
         """Build a version with another number of shards on the same servers."""
         pool = self._deployment.pools["pools"][pool_name]
+        if any(entry["name"] == snapshot for entry in pool["snapshots"]):
+            return
         names = sorted(pool["servers"])
         rows = [
             [names[(2 * shard + copy) % len(names)] for copy in range(2)] for shard in range(shards)
--- a/bergamotgate/wire/network.py
+++ b/bergamotgate/wire/network.py
@@ -148,9 +148,10 @@
     host, port = split_address(address)
     try:
         stream = await TCPClient().connect(host, port, timeout=wait_s)
-    except ConnectionRefusedError:
-        return PeerLife.REFUSED
-    except (OSError, TimeoutError, StreamClosedError):
+    except StreamClosedError as error:
+        refused = isinstance(error.real_error, ConnectionRefusedError)
+        return PeerLife.REFUSED if refused else PeerLife.SILENT
+    except (OSError, TimeoutError):
         return PeerLife.SILENT
     stream.close()
     return PeerLife.LISTENING
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,282 @@
+"""The real network and real HTTP on loopback, against stand-ins that count connections."""
+
+import asyncio
+import json
+import random
+import socket
+import subprocess
+import sys
+import tempfile
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+
+from bergamotgate.admission import Job, OwnedServer, QueuePlace
+from bergamotgate.backend import BackendRequest, CurlConnector
+from bergamotgate.caller import Caller
+from bergamotgate.clock import LoopClock, TaskGroup
+from bergamotgate.config import Pool, Server, Snapshot, Standing
+from bergamotgate.errors import (
+    ConnectionDied,
+    ConnectionRefused,
+    ExchangeTimedOut,
+    LinkLost,
+    WrongReply,
+)
+from bergamotgate.front import FrontServer
+from bergamotgate.metrics import Metrics
+from bergamotgate.node import Node, NodeServices
+from bergamotgate.ownership import Share
+from bergamotgate.platform import MemoryConfigurationService, MemoryVmListService
+from bergamotgate.platform.service import PublishedTables, PublishedVmList
+from bergamotgate.settings import Settings
+from bergamotgate.standin.http import BackendHttp
+from bergamotgate.standin.server import ServerLimits, StandinServer
+from bergamotgate.wire.generated.ttypes import Outcome
+from bergamotgate.wire.network import PeerLife, SocketNetwork
+from tests.support import cases, check, make_deployment, real
+
+SLOTS = 2
+CONNECTIONS = 25
+
+
+def free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def make_backend(service_s=0.005) -> tuple[BackendHttp, str]:
+    address = free_address()
+    limits = ServerLimits(SLOTS, CONNECTIONS)
+    server = StandinServer("s", limits, LoopClock(), random.Random(1))
+    server.behaviour.service_s = service_s
+    backend = BackendHttp(server, address)
+    backend.open()
+    return backend, address
+
+
+def make_request(identifier="i", budget_ms=1000, body=b"x") -> BackendRequest:
+    return BackendRequest(identifier, "p", "", 0, budget_ms, True, "", body)
+
+
+@real
+async def test_one_connection_carries_many_exchanges():
+    backend, address = make_backend()
+    connection = CurlConnector().open(address)
+    for number in range(5):
+        reply = await connection.exchange(make_request(f"i{number}"))
+        check.assertEqual(b"/0/8cdc1683", reply.body)
+    check.assertEqual(1, backend.server.observed.most_connections)
+    connection.close()
+
+
+@real
+async def test_an_exchange_that_is_late_closed_or_refused_has_its_own_error():
+    backend, address = make_backend(service_s=1.0)
+    connector = CurlConnector()
+    with check.assertRaises(ExchangeTimedOut):
+        await connector.open(address).exchange(make_request(budget_ms=50))
+    connection = connector.open(address)
+    exchange = asyncio.ensure_future(connection.exchange(make_request()))
+    await asyncio.sleep(0.05)
+    connection.close()
+    with check.assertRaises(ConnectionDied):
+        await exchange
+    with check.assertRaises(ConnectionRefused):
+        await connector.open(free_address()).exchange(make_request())
+
+
+@real
+async def test_a_crossed_reply_is_a_wrong_reply():
+    backend, address = make_backend()
+    run = backend.server.run
+
+    async def cross(request):
+        object.__setattr__(request, "identifier", "another")
+        return await run(request)
+
+    backend.server.run = cross
+    with check.assertRaises(WrongReply):
+        await CurlConnector().open(address).exchange(make_request())
+
+
+@real
+async def test_a_crash_under_a_request_is_a_death_also_on_a_used_connection():
+    backend, address = make_backend()
+    connection = CurlConnector().open(address)
+    await connection.exchange(make_request())
+    with check.assertRaises(ConnectionDied):
+        await connection.exchange(make_request("j", body=b"crash-the-server"))
+
+
+def make_job(results: list, budget_s: float) -> Job:
+    now = asyncio.get_running_loop().time()
+    return Job(
+        identifier=f"j{len(results)}-{random.random()}",
+        snapshot="",
+        shard=0,
+        body=b"x",
+        arrived_at=now,
+        deadline=now + budget_s,
+        order=QueuePlace(0, now),
+        only_if_free=False,
+        repeatable=True,
+        key="",
+        on_done=results.append,
+    )
+
+
+@real
+async def test_connections_stay_under_the_limit_through_cancels_and_time_outs():
+    backend, address = make_backend(service_s=0.03)
+    server = Server("s", address, "a", Standing.IN)
+    pool = Pool("p", SLOTS, CONNECTIONS, 1, 1, 4, {"s": server}, (Snapshot("", (("s",),)),))
+    tasks = TaskGroup("test:")
+    owned = OwnedServer(
+        pool,
+        server,
+        lambda: Share(SLOTS, 1, 13, 0.0),
+        lambda: None,
+        lambda silent: None,
+        CurlConnector(),
+        LoopClock(),
+        tasks,
+        Metrics(),
+    )
+    results: list = []
+    rng = random.Random(5)
+    for _ in range(150):
+        job = make_job(results, rng.choice((0.02, 0.04, 0.5)))
+        owned.submit(job)
+        await asyncio.sleep(0.01)
+        if rng.random() < 0.4:
+            owned.cancel(job)
+    await asyncio.sleep(0.6)
+    await tasks.close()
+    observed = backend.server.observed
+    check.assertEqual(0, observed.over_connections)
+    check.assertEqual(0, observed.over_slots)
+    check.assertGreater(sum(result.outcome == Outcome.ANSWERED for result in results), 0)
+
+
+def make_node(vm: str, peer: str, http: str) -> Node:
+    deployment = make_deployment()
+    tables = PublishedTables(1, deployment.routes_text(), deployment.pools_text())
+    listed = [{"vm": vm, "zone": "a", "peer": peer, "http": http}]
+    services = NodeServices(
+        MemoryConfigurationService(tables),
+        MemoryVmListService(PublishedVmList(1, json.dumps({"vms": listed}))),
+        SocketNetwork(),
+        CurlConnector(),
+        LoopClock(),
+        random.Random(1),
+        boot=1,
+    )
+    settings = Settings(vm, "a", peer, http, "http://127.0.0.1:1", "http://127.0.0.1:1")
+    return Node(settings, services)
+
+
+@real
+async def test_garbage_from_peers_is_counted_and_the_node_keeps_serving():
+    peer, http = free_address(), free_address()
+    node = make_node("vm-1", peer, http)
+    front = FrontServer(node.desk, node.metrics, node.status)
+    front.open(http)
+    await node.start()
+    await asyncio.sleep(0.2)
+    host, port = peer.split(":")
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+        datagrams.sendto(b"\xff" * 50, (host, int(port)))
+    for garbage in (b"\xff\xff\xff\xff", b"\x00\x00\x00\x05hello"):
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(garbage)
+        check.assertEqual(b"", await reader.read())
+        writer.close()
+    answer = await Caller([http]).addresses()
+    check.assertEqual("vm-1", answer["addresses"][0]["vm"])
+    text = (await CurlAsyncHTTPClient().fetch(f"http://{http}/-/metrics")).body.decode()
+    check.assertIn('bergamotgate_bad_messages_total{kind="datagram"} 1.0', text)
+    check.assertIn('bergamotgate_bad_messages_total{kind="frame"} 2.0', text)
+    await front.close()
+    await node.close()
+
+
+@real
+async def test_bad_requests_get_typed_refusals():
+    peer, http = free_address(), free_address()
+    node = make_node("vm-1", peer, http)
+    front = FrontServer(node.desk, node.metrics, node.status)
+    front.open(http)
+    await node.start()
+    await asyncio.sleep(0.2)
+    client = CurlAsyncHTTPClient(force_instance=True)
+
+    async def ask(path, body=b"x", **headers):
+        response = await client.fetch(
+            f"http://{http}{path}", method="POST", body=body, headers=headers, raise_error=False
+        )
+        fields = json.loads(response.body)
+        return response.code, fields["outcome"], fields["reason"]
+
+    check.assertEqual((404, "not_run", "no_route"), await ask("/nowhere"))
+    late = await ask("/search", **{"X-Deadline-Ms": "soon"})
+    check.assertEqual((400, "not_run", "bad_deadline"), late)
+    check.assertEqual((400, "not_run", "key_required"), await ask("/book"))
+    check.assertEqual((400, "not_run", "bad_key"), await ask("/book", **{"X-Key": "mine"}))
+    large = await ask("/search", body=b"x" * (1024 * 1024 + 1))
+    check.assertEqual((413, "not_run", "body_too_large"), large)
+    stale = await ask("/book", **{"X-Key": "vm-9.1.1/a", "X-Sending": "1"})
+    check.assertEqual((503, "not_run", "keeper_left"), stale)
+    again = await ask("/book", **{"X-Key": "vm-9.1.1/a", "X-Sending": "2"})
+    check.assertEqual((504, "unknown", "keeper_gone"), again)
+    await front.close()
+    await node.close()
+
+
+@real
+async def test_a_kernel_that_refuses_is_told_from_one_that_listens():
+    network = SocketNetwork()
+    address = free_address()
+    check.assertEqual(PeerLife.REFUSED, await network.look(address, 0.5))
+    listener = await network.listen(address, lambda stream: asyncio.sleep(1))
+    check.assertEqual(PeerLife.LISTENING, await network.look(address, 0.5))
+    listener.close()
+    with check.assertRaises(LinkLost):
+        await network.connect(address)
+
+
+def run_daemon(text: str, tmp: str) -> subprocess.CompletedProcess:
+    with open(tmp, "w") as settings:
+        settings.write(text)
+    command = [sys.executable, "-c", "from bergamotgate.daemon import main; main()", tmp]
+    return subprocess.run(command, capture_output=True, text=True, timeout=30)
+
+
+def test_a_daemon_shows_every_mistake_of_its_settings():
+    with tempfile.NamedTemporaryFile(suffix=".jsonc") as file:
+        ended = run_daemon('{"vm": 3, "zon": "a", "peer": "localhost:1"}', file.name)
+    check.assertEqual(2, ended.returncode)
+    for place in ("vm", "zon", "zone", "peer", "http", "platform"):
+        check.assertRegex(ended.stderr, rf"{place}: expected")
+
+
+def test_a_daemon_whose_address_is_taken_says_so():
+    with socket.socket() as taken, tempfile.NamedTemporaryFile(suffix=".jsonc") as file:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        settings = {
+            "vm": "vm-1",
+            "zone": "a",
+            "peer": free_address(),
+            "http": f"127.0.0.1:{taken.getsockname()[1]}",
+            "platform": {
+                "configuration_url": "http://127.0.0.1:1/t",
+                "vm_list_url": "http://127.0.0.1:1/v",
+            },
+        }
+        ended = run_daemon(json.dumps(settings), file.name)
+    check.assertEqual(3, ended.returncode)
+    check.assertIn("is in use", ended.stderr)
+
+
+load_tests = cases(globals())
