Take only a refused connect as proof that nothing was sent

The library attaches no times to its transport errors at all, and its count of sent bytes stays 0 for a request that had left, so neither can prove anything. Change: only the error 'could not connect' on a fresh connection is a proof; every time-out is unknown. Conclusion: a connect that times out is now stated as unknown, the safe side.

--- a/bergamotgate/backend/curl.py
+++ b/bergamotgate/backend/curl.py
@@ -1,8 +1,9 @@
 """Backend connections over HTTP with libcurl, one client per connection so that counts are exact.
 
 libcurl repeats a request by itself when a connection that it reused turns out to be closed. A
-request that may not be repeated therefore always opens a new connection, and a failed connect
-proves that nothing was sent only where no older connection was tried first.
+request that may not be repeated therefore always opens a new connection, and a refused connect
+proves that nothing was sent only where no older connection was tried first. A time-out proves
+nothing: the library does not say reliably whether it struck before the request left.
 """
 
 import asyncio
@@ -21,7 +22,6 @@
 CONNECT_TIMEOUT_S = 0.5
 MIN_TIMEOUT_S = 0.001
 HTTP_OK = 200
-HTTP_CLIENT_CLOSED = 599
 
 
 class CurlConnector:
@@ -106,9 +106,7 @@
 
     def _failure(self, error: CurlError, repeatable: bool) -> Exception:
         fresh = not self.used or not repeatable
-        # Without the transfer's times nothing is known, so nothing is claimed.
-        never_connected = error.response is not None and not error.response.time_info["connect"]
-        if fresh and never_connected:
+        if fresh and error.errno == pycurl.E_COULDNT_CONNECT:
             return ConnectionRefused(self._address, error)
         if error.errno == pycurl.E_OPERATION_TIMEDOUT:
             return ExchangeTimedOut(self._address, error)
