Measure the state at 710 VMs; send small changes; rank own groups once a view

Change: entries are split down to single fields; own groups and groups of servers are kept until the view changes; longest deadlines are worked out once for each pair of tables.

--- a/bergamotgate/bench.py
+++ b/bergamotgate/bench.py
@@ -9,13 +9,14 @@
 import sys
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from pathlib import Path
 
 import click
 from loguru import logger
 from matplotlib import pyplot
 
+from bergamotgate.benchstate import measure_exchange, measure_large_state
 from bergamotgate.front.desk import CallerRequest
 from bergamotgate.standin.deployments import PoolSpec, build_deployment
 from bergamotgate.standin.fleet import Fleet
@@ -217,6 +218,10 @@
     per_shard = slope([(c.shards, c.cpu_ms) for c in queries])
     lines.append(f"  slope: {1000 * per_shard:.0f} us CPU a sub-request")
     lines.append(f"  codec: {measure_codec():.1f} us CPU a sub-request, encoded and decoded")
+    ours, library = asyncio.run(measure_exchange())
+    lines.append(f"  HTTP exchange: {ours:.0f} us CPU, {ours / library:.2f} of the bare library's")
+    lines.append("state of a node at 710 VMs")
+    lines += [f"  {name}: {value:g}" for name, value in asdict(measure_large_state()).items()]
     if not quick:
         lines += _scenario_lines()
     click.echo("\n".join(lines))
--- /dev/null
+++ b/bergamotgate/benchstate.py
@@ -0,0 +1,193 @@
+"""Measures tables, rankings and memory at the size to design for, without running its nodes."""
+
+import json
+import multiprocessing
+import random
+import time
+import tracemalloc
+from dataclasses import dataclass
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPRequest
+from tornado.ioloop import IOLoop
+from tornado.web import Application, RequestHandler
+
+from bergamotgate.backend.connection import BackendRequest
+from bergamotgate.backend.curl import CurlConnector
+from bergamotgate.clock import LoopClock
+from bergamotgate.config.delta import canonical, changes_between
+from bergamotgate.config.reader import read_tables
+from bergamotgate.gather.replicas import ReplicaBook
+from bergamotgate.membership.members import Member, MemberState, MemberTable
+from bergamotgate.ownership.directory import OwnerDirectory
+from bergamotgate.platform.vmlist import read_vm_list
+from bergamotgate.standin.deployments import PoolSpec, build_deployment
+from bergamotgate.standin.virtual import run_virtual
+
+__all__ = ["LargeState", "measure_exchange", "measure_large_state"]
+
+VMS = 710
+POOLS = 18
+SHARDS = 83
+ZONES = ("a", "b", "c", "d", "e", "f")
+CHOICES = 50
+EXCHANGES = 1500
+EXCHANGE_PORT = 20999
+SERVER_START_S = 2.0
+
+
+@dataclass(frozen=True)
+class LargeState:
+    """Costs at 710 nodes and about 3,000 replicas.
+
+    Attributes:
+        servers: Backend servers in the tables.
+        tables_bytes: Size of the canonical tables.
+        change_bytes: Size of the change when one server's standing changes.
+        accept_ms: CPU to check and accept the tables.
+        rank_ms: CPU to rank every group after the VM list changed.
+        choose_ms: CPU to choose replicas for one query of 83 shards.
+        owners_per_query: VMs that one query of 83 shards goes to.
+        first_groups: Groups of which one VM is the first owner, at most.
+        memory_mb: Memory of tables, members and rankings.
+    """
+
+    servers: int
+    tables_bytes: int
+    change_bytes: int
+    accept_ms: float
+    rank_ms: float
+    choose_ms: float
+    owners_per_query: int
+    first_groups: int
+    memory_mb: float
+
+
+def measure_large_state() -> LargeState:
+    """Build the state of one node at the size to design for."""
+    return run_virtual(_large_state)
+
+
+async def _large_state() -> LargeState:
+    specs = tuple(PoolSpec(f"pool{n:02d}", SHARDS, 2, 2, 25, 0.006) for n in range(POOLS))
+    routes = {
+        "classes": {"urgent": {"deadline_ms": 150, "hedging": True, "repeatable": True}},
+        "routes": {
+            spec.name: {"match": {"path": f"/{spec.name}"}, "class": "urgent", "pool": spec.name}
+            for spec in specs
+        },
+    }
+    deployment = build_deployment(routes, specs, ZONES)
+    texts = deployment.routes_text(), deployment.pools_text()
+    before = canonical(routes, deployment.pools)
+    deployment.pools["pools"]["pool00"]["servers"]["pool00-00a"]["standing"] = "leaving"
+    changes = changes_between(before, canonical(routes, deployment.pools))
+    tracemalloc.start()
+    kept = _directory(read_tables(1, *texts))
+    kept.own_groups()
+    memory_mb = tracemalloc.get_traced_memory()[0] / 1e6
+    tracemalloc.stop()
+    began = time.process_time()
+    tables = read_tables(1, *texts)
+    accept_ms = 1000 * (time.process_time() - began)
+    directory = _directory(tables)
+    began = time.process_time()
+    directory.own_groups()
+    rank_ms = 1000 * (time.process_time() - began)
+    choose_ms, owners = _choose(tables, directory)
+    return LargeState(
+        servers=sum(len(pool.server_by_name) for pool in tables.pool_by_name.values()),
+        tables_bytes=len(before),
+        change_bytes=sum(len(c.path) + len(c.value or "") for c in changes),
+        accept_ms=accept_ms,
+        rank_ms=rank_ms,
+        choose_ms=choose_ms,
+        owners_per_query=owners,
+        first_groups=_most_first_groups(tables, directory),
+        memory_mb=memory_mb,
+    )
+
+
+def _directory(tables) -> OwnerDirectory:
+    vms = [
+        {
+            "vm": f"vm-{n}",
+            "zone": ZONES[n % len(ZONES)],
+            "peer": f"10.0.{n // 200}.{n % 200 + 1}:7000",
+            "http": f"10.0.{n // 200}.{n % 200 + 1}:8000",
+        }
+        for n in range(VMS)
+    ]
+    members = None
+    for vm in vms:
+        member = Member(vm["vm"], vm["zone"], vm["peer"], vm["http"], 1, 0, MemberState.ALIVE)
+        if members is None:
+            members = MemberTable(member)
+        members.merge(member)
+    directory = OwnerDirectory("vm-0", members, LoopClock())
+    directory.use_tables(tables)
+    directory.use_list(read_vm_list(1, json.dumps({"vms": vms})))
+    return directory
+
+
+def _choose(tables, directory: OwnerDirectory) -> tuple[float, int]:
+    """Cost of choosing replicas, and the owners of one query in the fleet's zones."""
+    book = ReplicaBook(directory, LoopClock(), random.Random(1))
+    pool = tables.pool_by_name["pool00"]
+    snapshot = pool.snapshots[0]
+    owners: set[str] = set()
+    began = time.process_time()
+    for _ in range(CHOICES):
+        chosen = [book.candidates(tables, pool, snapshot, s, set())[0] for s in range(SHARDS)]
+        owners = {candidate.vm for candidate in chosen}
+    return 1000 * (time.process_time() - began) / CHOICES, len(owners)
+
+
+def _most_first_groups(tables, directory: OwnerDirectory) -> int:
+    groups = {
+        directory.group_of(pool, server)
+        for pool in tables.pool_by_name.values()
+        for server in pool.server_by_name.values()
+    }
+    count: dict[str, int] = {}
+    for group in groups:
+        first = directory.ranking(group).first
+        count[first] = count.get(first, 0) + 1
+    return max(count.values())
+
+
+class _EchoHandler(RequestHandler):
+    def post(self) -> None:
+        self.set_header("X-Request-Id", self.request.headers.get("X-Request-Id", ""))
+        self.finish(b"x" * 200)
+
+
+def _serve_echo() -> None:
+    Application([(r"/run", _EchoHandler)], log_function=lambda h: None).listen(
+        EXCHANGE_PORT, "127.0.0.1"
+    )
+    IOLoop.current().start()
+
+
+async def measure_exchange() -> tuple[float, float]:
+    """CPU microseconds of one exchange: through a backend connection, and by the bare library."""
+    server = multiprocessing.get_context("spawn").Process(target=_serve_echo, daemon=True)
+    server.start()
+    time.sleep(SERVER_START_S)
+    address = f"127.0.0.1:{EXCHANGE_PORT}"
+    try:
+        connection = CurlConnector().open(address)
+        request = BackendRequest("i", "p", "", 0, 5000, True, "", b"x" * 100)
+        began = time.process_time()
+        for _ in range(EXCHANGES):
+            await connection.exchange(request)
+        ours = time.process_time() - began
+        client = CurlAsyncHTTPClient(force_instance=True, max_clients=1)
+        bare = HTTPRequest(f"http://{address}/run", method="POST", body=b"x" * 100)
+        began = time.process_time()
+        for _ in range(EXCHANGES):
+            await client.fetch(bare)
+        library = time.process_time() - began
+    finally:
+        server.terminate()
+    return 1e6 * ours / EXCHANGES, 1e6 * library / EXCHANGES
--- a/bergamotgate/config/delta.py
+++ b/bergamotgate/config/delta.py
@@ -8,7 +8,7 @@
 __all__ = ["Change", "apply_changes", "canonical", "changes_between", "digest_of"]
 
 DIGEST_BYTES = 12
-SPLIT_DEPTH = 4
+SPLIT_DEPTH = 6
 SEPARATOR = "\x1f"
 
 
--- a/bergamotgate/config/tables.py
+++ b/bergamotgate/config/tables.py
@@ -181,6 +181,15 @@
         """Routes by method and path."""
         return {(route.method, route.path): route for route in self.route_by_name.values()}
 
+    @cached_property
+    def longest_deadline_ms_by_pool(self) -> dict[str, int]:
+        """Longest deadline of the routes to each pool."""
+        longest: dict[str, int] = {}
+        for route in self.route_by_name.values():
+            deadline_ms = route.urgency.deadline_ms
+            longest[route.pool] = max(deadline_ms, longest.get(route.pool, 0))
+        return longest
+
     def zone_is_in(self, zone: str) -> bool:
         """Whether an availability zone takes new work."""
         return self.zone_standing.get(zone, Standing.IN) is Standing.IN
--- a/bergamotgate/node/node.py
+++ b/bergamotgate/node/node.py
@@ -290,12 +290,7 @@
         tables = self.tables.tables
         if tables is None:
             return LONGEST_SETTLE_S
-        deadlines = (
-            route.urgency.deadline_ms
-            for route in tables.route_by_name.values()
-            if route.pool == pool
-        )
-        longest_s = max(deadlines, default=0) / 1000
+        longest_s = tables.longest_deadline_ms_by_pool.get(pool, 0) / 1000
         return min(LONGEST_SETTLE_S, max(SETTLE_LEAST_S, longest_s))
 
     def _use_tables(self, tables: Tables) -> None:
--- a/bergamotgate/ownership/directory.py
+++ b/bergamotgate/ownership/directory.py
@@ -76,6 +76,8 @@
         self._out: frozenset[str] = frozenset()
         self._ranking_by_group: dict[ServerGroup, Ranking] = {}
         self._previous_by_group: dict[ServerGroup, Ranking] = {}
+        self._own_groups: dict[ServerGroup, Ranking] | None = None
+        self._group_by_server: dict[tuple[str, str], ServerGroup] = {}
         self._listeners: list[Callable[[], None]] = []
         members.on_change(lambda member: self._notice_out())
 
@@ -86,6 +88,7 @@
     def use_tables(self, tables: Tables) -> None:
         """Take the standing of zones and the groups of pools from new tables."""
         self._tables = tables
+        self._group_by_server = {}
         self._rebuild()
 
     def use_list(self, vm_list: VmList) -> None:
@@ -95,7 +98,12 @@
 
     def group_of(self, pool: Pool, server: Server) -> ServerGroup:
         """The group that a server belongs to."""
-        return ServerGroup(pool.name, server.zone, pool.group_by_server[server.name])
+        key = (pool.name, server.name)
+        group = self._group_by_server.get(key)
+        if group is None or group.zone != server.zone:
+            group = ServerGroup(pool.name, server.zone, pool.group_by_server[server.name])
+            self._group_by_server[key] = group
+        return group
 
     def ranking(self, group: ServerGroup) -> Ranking:
         """The two VMs that may serve a group."""
@@ -115,16 +123,23 @@
 
     def own_groups(self) -> dict[ServerGroup, Ranking]:
         """Groups for which this process is the first or the second."""
+        if self._own_groups is None:
+            rankings = {group: self.ranking(group) for group in self._all_groups()}
+            self._own_groups = {
+                group: ranking
+                for group, ranking in rankings.items()
+                if self._own_vm in (ranking.first, ranking.second)
+            }
+        return self._own_groups
+
+    def _all_groups(self) -> set[ServerGroup]:
         if self._tables is None:
-            return {}
-        found = {}
-        for pool in self._tables.pool_by_name.values():
-            for server in pool.server_by_name.values():
-                group = self.group_of(pool, server)
-                ranking = self.ranking(group)
-                if self._own_vm in (ranking.first, ranking.second):
-                    found[group] = ranking
-        return found
+            return set()
+        return {
+            self.group_of(pool, server)
+            for pool in self._tables.pool_by_name.values()
+            for server in pool.server_by_name.values()
+        }
 
     def _notice_out(self) -> None:
         out = frozenset(m.vm for m in self._members.all() if m.surely_out)
@@ -135,6 +150,7 @@
     def _rebuild(self) -> None:
         self._previous_by_group.update(self._ranking_by_group)
         self._ranking_by_group = {}
+        self._own_groups = None
         by_zone = defaultdict(list)
         if self._vm_list is not None:
             for name in self._vm_list.live_names:
