--- a/bergamotgate/logs.py
+++ b/bergamotgate/logs.py
@@ -13,6 +13,7 @@
 
 def set_up_logs(vm: str, form: LogFormat, level: LogLevel) -> None:
     """Write the log to standard error."""
+    logger.enable("bergamotgate")
     logger.remove()
     logger.configure(extra={"vm": vm})
     if form is LogFormat.JSON:
--- a/bergamotgate/outcomes.py
+++ b/bergamotgate/outcomes.py
@@ -31,7 +31,6 @@
     KEY_REQUIRED = "key_required"
     TOKEN_EXPIRED = "token_expired"
     KEEPER_LEFT = "keeper_left"
-    DEADLINE_TOO_NEAR = "deadline_too_near"
     OVERLOADED = "overloaded"
     VIEW_UNCONFIRMED = "view_unconfirmed"
     NO_CONFIGURATION = "no_configuration"
--- a/bergamotgate/standin/__main__.py
+++ b/bergamotgate/standin/__main__.py
@@ -22,8 +22,8 @@
 @click.option("--log", is_flag=True, help="Show the nodes' logs.")
 def main(files: tuple[Path, ...], seed: int, runs: int, naive: bool, log: bool) -> None:
     """Play scenario FILES on virtual time; exit with 1 when anything did not hold."""
-    if not log:
-        logger.remove()
+    if log:
+        logger.enable("bergamotgate")
     bad = False
     for path in files:
         try:
