--- a/bergamotgate/backend/curl.py
+++ b/bergamotgate/backend/curl.py
@@ -54,31 +54,13 @@
     def __init__(self, address: str):
         self._address = address
         self._client = _ClosableClient(force_instance=True, max_clients=1)
-        self._closed: asyncio.Future = asyncio.get_running_loop().create_future()
+        self._closed = False
+        self._transfer: asyncio.Future | None = None
         self.used = False
 
     async def exchange(self, request: BackendRequest) -> BackendReply:
         """Send a request and wait for its reply."""
-        if self._closed.done():
-            raise ConnectionRefused(self._address, "closed")
-        fetch = asyncio.ensure_future(self._fetch(request))
-        try:
-            await asyncio.wait({fetch, self._closed}, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            if not fetch.done():
-                fetch.cancel()
-        if not fetch.done() or fetch.cancelled():
-            raise ConnectionDied(self._address, "closed here")
-        return fetch.result()
-
-    def close(self) -> None:
-        """Close the connection."""
-        if not self._closed.done():
-            self._closed.set_result(None)
-            self._client.close()
-
-    async def _fetch(self, request: BackendRequest) -> BackendReply:
-        if self._closed.done():
+        if self._closed:
             raise ConnectionRefused(self._address, "closed")
         timeout = max(request.budget_ms / 1000, MIN_TIMEOUT_S)
         message = HTTPRequest(
@@ -93,8 +75,9 @@
             follow_redirects=False,
             prepare_curl_callback=lambda curl: _prepare(curl, request.repeatable),
         )
+        self._transfer = self._client.fetch(message)
         try:
-            response = await self._client.fetch(message)
+            response = await self._transfer
         except CurlError as error:
             raise self._failure(error, request.repeatable) from error
         except HTTPError as error:
@@ -104,6 +87,15 @@
         self.used = True
         return self._reply(request, response)
 
+    def close(self) -> None:
+        """Close the connection; a closed client never ends its transfer, so it is ended here."""
+        if self._closed:
+            return
+        self._closed = True
+        self._client.close()
+        if self._transfer is not None and not self._transfer.done():
+            self._transfer.set_exception(ConnectionDied(self._address, "closed here"))
+
     def _failure(self, error: CurlError, repeatable: bool) -> Exception:
         fresh = not self.used or not repeatable
         if fresh and error.errno == pycurl.E_COULDNT_CONNECT:
--- a/bergamotgate/gather/gatherer.py
+++ b/bergamotgate/gather/gatherer.py
@@ -113,24 +113,16 @@
             snapshot = self._choose_snapshot(tables, pool, ruled_out)
             if snapshot is None or request.deadline - self._clock.now() < LEAST_TIME_S:
                 break
+            ruled_out.add(snapshot.name)
+            may_restart = request.route.urgency.repeatable and len(ruled_out) < len(pool.snapshots)
             tools = self._pool_tools(pool.name)
-            query = Query(request, tables, pool, snapshot, suspicion, tools)
+            query = Query(request, tables, pool, snapshot, suspicion, tools, may_restart)
             result = _better(result, await query.run())
             congestion = max(congestion, query.congestion)
-            ruled_out.add(snapshot.name)
-            if not self._worth_another(query, request, pool, ruled_out):
+            if not (may_restart and query.lacks_snapshot):
                 break
         return result, congestion
 
-    def _worth_another(
-        self, query: Query, request: QueryRequest, pool: Pool, ruled_out: set[str]
-    ) -> bool:
-        return (
-            query.lacks_snapshot
-            and request.route.urgency.repeatable
-            and len(ruled_out) < len(pool.snapshots)
-        )
-
     def _choose_snapshot(self, tables: Tables, pool: Pool, ruled_out: set[str]) -> Snapshot | None:
         """The first snapshot that can be served whole, else the one with most coverage."""
         best: Snapshot | None = None
--- a/bergamotgate/gather/query.py
+++ b/bergamotgate/gather/query.py
@@ -139,6 +139,7 @@
         snapshot: Snapshot,
         suspicion: Suspicion,
         tools: PoolTools,
+        may_restart: bool,
     ):
         self._request = request
         self._tables = tables
@@ -147,6 +148,7 @@
         self._urgency = request.route.urgency
         self._tools = tools
         self._suspicion = suspicion
+        self._may_restart = may_restart
         self._shards = [_Shard() for _ in snapshot.servers_by_shard]
         self._shard_by_attempt: dict[int, int] = {}
         self._progress = asyncio.Event()
@@ -209,6 +211,9 @@
         return min(self._request.deadline, self._settle_at, self._hedge_at, *retries)
 
     def _is_complete(self) -> bool:
+        """Whether nothing is left to wait for, or another snapshot is the better way."""
+        if self._may_restart and self.lacks_snapshot:
+            return True
         return all(s.body is not None or s.given_up for s in self._shards)
 
     def _send_first(self, shards: range | list[int]) -> None:
--- a/bergamotgate/standin/demo.py
+++ b/bergamotgate/standin/demo.py
@@ -34,6 +34,7 @@
 JOIN_S = 4.0
 WARM_S = 4.0
 STEP_S = 4.0
+PAUSE_S = 5.0
 NO_NEW_WORK_S = 5.0
 LIST_LAG_S = 2.0
 STOP_TIMEOUT_S = 15
@@ -52,7 +53,7 @@
         gaps: Answers with gaps.
         refused: Refusals by reason.
         lost: Requests without any answer after all sendings.
-        bookings: Keys of requests that may not be repeated and that were answered.
+        needed: Sub-requests that the answers needed.
     """
 
     asked: int = 0
@@ -60,11 +61,13 @@
     gaps: int = 0
     refused: Counter = field(default_factory=Counter)
     lost: int = 0
+    needed: int = 0
     latency: HdrHistogram = field(default_factory=lambda: HdrHistogram(SMALLEST_US, LARGEST_US, 2))
 
     def add(self, result: CallerResult, seconds: float) -> None:
         """Count one result."""
         self.asked += 1
+        self.needed += result.total_shards
         self.latency.record_value(int(seconds * 1_000_000))
         if result.whole:
             self.whole += 1
@@ -108,6 +111,7 @@
             await asyncio.sleep(WARM_S)
             await self._zone_out_and_back("b")
             await self._stop_one(self._vms[4])
+            await self._pause_one(self._vms[2])
             await self._kill_one(self._vms[3])
             load.cancel()
             await asyncio.gather(load, return_exceptions=True)
@@ -187,6 +191,14 @@
             self._broken.append(f"{vm['vm']} ended with {daemon.poll()} after SIGTERM")
         self._unlist(vm)
 
+    async def _pause_one(self, vm: dict) -> None:
+        print(f"{vm['vm']} is held for {PAUSE_S:.0f} s and let go")
+        daemon = self._daemon_by_vm[vm["vm"]]
+        daemon.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(PAUSE_S)
+        daemon.send_signal(signal.SIGCONT)
+        await asyncio.sleep(STEP_S)
+
     async def _kill_one(self, vm: dict) -> None:
         print(f"{vm['vm']} is killed")
         self._daemon_by_vm[vm["vm"]].kill()
@@ -235,7 +247,9 @@
             print(f"refused {reason}: {count}")
         print(f"p50 {p50:.0f} ms  p99 {p99:.0f} ms  platform calls {self._platform.calls}")
         most = max(b.server.observed.most_connections for b in self._backends.values())
-        print(f"most connections at one server {most}")
+        runs = sum(len(b.server.observed.runs) for b in self._backends.values())
+        extra = max(0.0, runs / max(1, tally.needed) - 1)
+        print(f"most connections at one server {most}, extra load {100 * extra:.1f}%")
         for broken in self._broken:
             print(f"BROKEN {broken}")
 
--- a/bergamotgate/standin/stage.py
+++ b/bergamotgate/standin/stage.py
@@ -329,6 +329,9 @@
             self._server(name).snapshots.add(snapshot)
         self._publish()
 
+    def _do_forget_snapshot(self, snapshot: str, server: str) -> None:
+        self._server(server).snapshots.discard(snapshot)
+
     def _do_snapshot_first(self, snapshot: str, pool_name: str) -> None:
         pool = self._deployment.pools["pools"][pool_name]
         pool["snapshots"].sort(key=lambda entry: entry["name"] != snapshot)
