--- a/bergamotgate/standin/deployments.py
+++ b/bergamotgate/standin/deployments.py
@@ -9,6 +9,8 @@
 
 ZONES = ("a", "b", "c")
 FIRST_BACKEND_PORT = 20000
+SHARDED_CONNECT_S = 0.006
+SMALL_CONNECT_S = 0.001
 
 
 @dataclass(frozen=True)
@@ -100,7 +102,11 @@
 def load_texts(routes_text: str, pools_text: str) -> Deployment:
     """A deployment from the texts of both tables, without comments."""
     pools = jsonc.loads(pools_text)
-    return Deployment(jsonc.loads(routes_text), pools, _specs(pools))
+    deployment = Deployment(jsonc.loads(routes_text), pools, _specs(pools))
+    for pool_name, pool in pools["pools"].items():
+        for server_name, server in pool["servers"].items():
+            deployment.address_by_server[(pool_name, server_name)] = server["address"]
+    return deployment
 
 
 def _specs(pools: dict) -> tuple[PoolSpec, ...]:
@@ -111,7 +117,8 @@
             replicas=2,
             slots=pool["slots"],
             connections=pool["connections"],
-            connect_s=0.006 if "snapshots" in pool else 0.001,
+            connect_s=SHARDED_CONNECT_S if "snapshots" in pool else SMALL_CONNECT_S,
+            snapshots=tuple(entry["name"] for entry in pool.get("snapshots", ())),
         )
         for name, pool in pools["pools"].items()
     )
--- a/bergamotgate/standin/scenario.py
+++ b/bergamotgate/standin/scenario.py
@@ -8,13 +8,12 @@
 from lark.exceptions import LarkError
 
 from bergamotgate.errors import BergamotgateError
-from bergamotgate.standin.deployments import PoolSpec
+from bergamotgate.standin.deployments import SHARDED_CONNECT_S, SMALL_CONNECT_S, PoolSpec
 
 __all__ = ["Action", "Expectation", "Load", "Scenario", "ScenarioError", "read_scenario"]
 
 GRAMMAR = Path(__file__).with_name("scenario.lark")
-SHARDED_CONNECT_S = 0.006
-SMALL_CONNECT_S = 0.001
+ALL_ZONES = "abcdef"
 
 
 class ScenarioError(BergamotgateError):
@@ -97,9 +96,23 @@
 
 @dataclass
 class Scenario:
-    """A whole scenario."""
+    """A whole scenario.
+
+    Attributes:
+        vms: Number of VMs.
+        zones: Availability zones.
+        tables: Example deployment whose tables are used; empty for the pools given.
+        pools: Sizes of the pools.
+        service_s_by_pool: Service times that differ from the usual one.
+        class_options: Fields of classes that differ from the usual ones.
+        loads: Requests.
+        actions: What happens.
+        expectations: What must hold.
+    """
 
     vms: int = 6
+    zones: tuple[str, ...] = ("a", "b", "c")
+    tables: str = ""
     pools: list[PoolSpec] = field(default_factory=list)
     service_s_by_pool: dict[str, float] = field(default_factory=dict)
     class_options: dict[str, dict[str, Any]] = field(default_factory=dict)
@@ -146,6 +159,11 @@
 
     def fleet(self, children: list) -> None:
         self._scenario.vms = int(children[0])
+        if children[1] is not None:
+            self._scenario.zones = tuple(ALL_ZONES[: int(children[1])])
+
+    def tables(self, children: list) -> None:
+        self._scenario.tables = str(children[0])
 
     def pool(self, children: list) -> None:
         name, shards, replicas, slots, connections, snapshots, takes_ms = children
--- a/bergamotgate/standin/stage.py
+++ b/bergamotgate/standin/stage.py
@@ -5,11 +5,12 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 
 from bergamotgate.caller import Caller, CallerReply, CallerResult, NoAddress, NoReply
 from bergamotgate.clock import LoopClock
 from bergamotgate.front.desk import CallerRequest
-from bergamotgate.standin.deployments import Deployment, build_deployment
+from bergamotgate.standin.deployments import Deployment, build_deployment, load_texts
 from bergamotgate.standin.fleet import Fleet, FleetVm
 from bergamotgate.standin.promises import (
     Evidence,
@@ -24,6 +25,7 @@
 
 __all__ = ["Report", "play"]
 
+EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
 CALLER_WAY_S = 0.001
 START_S = 6.0
 AFTER_S = 3.0
@@ -209,7 +211,11 @@
         sent_at = self._now()
         try:
             result = await caller.send(
-                "POST", entry["match"]["path"], body, urgency["deadline_ms"], once
+                entry["match"].get("method", "POST"),
+                entry["match"]["path"],
+                body,
+                urgency["deadline_ms"],
+                once,
             )
         except NoAddress:
             result = CallerResult(False, "unknown", "no_answer")
@@ -535,6 +541,10 @@
 
 
 def _deployment(scenario: Scenario) -> Deployment:
+    if scenario.tables:
+        folder = EXAMPLES / scenario.tables
+        texts = [(folder / f"{name}.jsonc").read_text() for name in ("routes", "pools")]
+        return load_texts(*texts)
     routes = {
         "classes": {name: dict(options) for name, options in DEFAULT_ROUTES["classes"].items()},
         "routes": {},
@@ -545,7 +555,7 @@
     for name, entry in DEFAULT_ROUTES["routes"].items():
         if entry["pool"] in pools:
             routes["routes"][name] = entry
-    return build_deployment(routes, tuple(scenario.pools))
+    return build_deployment(routes, tuple(scenario.pools), scenario.zones)
 
 
 def _nested(options: dict) -> dict:
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -1,4 +1,5 @@
 import json
+import random
 from pathlib import Path
 
 from bergamotgate.config import read_tables
@@ -150,4 +151,18 @@
     check.assertEqual(-1, peer.revision)
 
 
+def test_damaged_tables_are_read_or_rejected_and_never_anything_else():
+    rng = random.Random(11)
+    texts = [(EXAMPLES / "spokewise" / f"{n}.jsonc").read_text() for n in ("routes", "pools")]
+    rejected = 0
+    for _ in range(150):
+        damaged = [bytearray(text, "utf-8") for text in texts]
+        victim = rng.choice(damaged)
+        for _ in range(rng.randrange(1, 4)):
+            place = rng.randrange(len(victim))
+            victim[place : place + rng.randrange(4)] = bytes(rng.choices(b'{}[]",:01ax/* ', k=2))
+        rejected += bool(problems_of(*(text.decode(errors="replace") for text in damaged)))
+    check.assertGreater(rejected, 75)
+
+
 load_tests = cases(globals())
