Split the query's messages and shard states from its run; name the checks of fields

Change: gather/answer.py, gather/shardstate.py, named predicates; the stage uses public methods of the fleet. Behaviour is unchanged.

--- a/bergamotgate/config/fields.py
+++ b/bergamotgate/config/fields.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import Callable, Iterator
 from enum import StrEnum
+from functools import partial
 from ipaddress import ip_address
 from typing import Any, TypeVar
 
@@ -84,6 +85,30 @@
         return False
 
 
+def _is_whole(low: int, high: int, value: Any) -> bool:
+    return type(value) is int and low <= value <= high
+
+
+def _is_share(value: Any) -> bool:
+    return type(value) in (int, float) and 0 <= value <= 1
+
+
+def _is_flag(value: Any) -> bool:
+    return type(value) is bool
+
+
+def _is_text(value: Any) -> bool:
+    return isinstance(value, str) and value != ""
+
+
+def _is_path(value: Any) -> bool:
+    return isinstance(value, str) and value.startswith("/")
+
+
+def _is_text_list(value: Any) -> bool:
+    return isinstance(value, list | tuple) and all(isinstance(item, str) for item in value)
+
+
 class Fields:
     """One JSON object whose fields are taken one by one; what is left over is a mistake."""
 
@@ -99,28 +124,23 @@
     def whole(self, name: str, low: int, high: int, default: int | None = None) -> int:
         """A whole number within bounds."""
         expected = f"a whole number from {low} to {high}"
-        valid = lambda value: type(value) is int and low <= value <= high  # noqa: E731
-        return self._take(name, default, expected, valid, low)
+        return self._take(name, default, expected, partial(_is_whole, low, high), low)
 
     def share(self, name: str, default: float | None = None) -> float:
         """A number from 0 to 1."""
-        valid = lambda value: type(value) in (int, float) and 0 <= value <= 1  # noqa: E731
-        return float(self._take(name, default, "a number from 0 to 1", valid, 0.0))
+        return float(self._take(name, default, "a number from 0 to 1", _is_share, 0.0))
 
     def flag(self, name: str, default: bool | None = None) -> bool:
         """True or false."""
-        valid = lambda value: type(value) is bool  # noqa: E731
-        return self._take(name, default, "true or false", valid, False)
+        return self._take(name, default, "true or false", _is_flag, False)
 
     def text(self, name: str, default: str | None = None) -> str:
         """A text that is not empty."""
-        valid = lambda value: isinstance(value, str) and value != ""  # noqa: E731
-        return self._take(name, default, "a text that is not empty", valid, "")
+        return self._take(name, default, "a text that is not empty", _is_text, "")
 
     def path(self, name: str) -> str:
         """A text that starts with a slash."""
-        valid = lambda value: isinstance(value, str) and value.startswith("/")  # noqa: E731
-        return self._take(name, None, "a path that starts with /", valid, "/")
+        return self._take(name, None, "a path that starts with /", _is_path, "/")
 
     def address(self, name: str) -> str:
         """An ``ip:port``."""
@@ -129,16 +149,12 @@
     def choice(self, name: str, kind: type[Choice], default: Choice | None = None) -> Choice:
         """One word of an enumeration."""
         words = [str(member) for member in kind]
-        valid = lambda value: value in words  # noqa: E731
-        found = self._take(name, default, "one of " + ", ".join(words), valid, words[0])
-        return kind(found)
+        expected = "one of " + ", ".join(words)
+        return kind(self._take(name, default, expected, words.__contains__, words[0]))
 
     def names(self, name: str, default: tuple[str, ...] | None = None) -> tuple[str, ...]:
         """A list of texts."""
-        valid = lambda value: isinstance(value, list | tuple) and all(  # noqa: E731
-            isinstance(item, str) for item in value
-        )
-        return tuple(self._take(name, default, "a list of texts", valid, ()))
+        return tuple(self._take(name, default, "a list of texts", _is_text_list, ()))
 
     def raw(self, name: str, default: Any = None) -> Any:
         """The value as it stands, or the default."""
--- a/bergamotgate/front/answers.py
+++ b/bergamotgate/front/answers.py
@@ -3,7 +3,7 @@
 import json
 from dataclasses import dataclass, field
 
-from bergamotgate.gather.query import QueryAnswer
+from bergamotgate.gather.answer import QueryAnswer
 from bergamotgate.outcomes import NotRun, NotRunReason, Refusal, Unknown, UnknownReason
 
 __all__ = ["CallerAnswer", "MAX_ANSWER_BYTES", "redirect", "render"]
--- a/bergamotgate/front/desk.py
+++ b/bergamotgate/front/desk.py
@@ -10,8 +10,8 @@
 from bergamotgate.errors import LinkLost
 from bergamotgate.front.addresses import KEEP_S, AddressBook
 from bergamotgate.front.answers import CallerAnswer, redirect, render
+from bergamotgate.gather.answer import QueryAnswer, QueryRequest
 from bergamotgate.gather.gatherer import Gatherer
-from bergamotgate.gather.query import QueryAnswer, QueryRequest
 from bergamotgate.keeper.book import KeeperBook
 from bergamotgate.keeper.token import BadKey, RequestKey, read_key
 from bergamotgate.membership.confirmation import ViewConfirmation
--- a/bergamotgate/gather/__init__.py
+++ b/bergamotgate/gather/__init__.py
@@ -1,10 +1,10 @@
 """The gateway's side: one query to all shards of one snapshot, and one whole answer."""
 
+from bergamotgate.gather.answer import MissingShard, QueryAnswer, QueryRequest
 from bergamotgate.gather.budget import ExtraBudget
 from bergamotgate.gather.dispatcher import Dispatcher
 from bergamotgate.gather.gatherer import Gatherer
 from bergamotgate.gather.limiter import QueryLimiter
-from bergamotgate.gather.query import MissingShard, QueryAnswer, QueryRequest
 from bergamotgate.gather.replicas import ReplicaBook
 
 __all__ = [
--- a/bergamotgate/gather/gatherer.py
+++ b/bergamotgate/gather/gatherer.py
@@ -6,11 +6,12 @@
 
 from bergamotgate.clock import Clock
 from bergamotgate.config.tables import Pool, Route, Snapshot, Tables
+from bergamotgate.gather.answer import QueryAnswer, QueryRequest
 from bergamotgate.gather.budget import ExtraBudget
 from bergamotgate.gather.dispatcher import Dispatcher
 from bergamotgate.gather.latency import RecentLatency
 from bergamotgate.gather.limiter import Congestion, QueryLimiter
-from bergamotgate.gather.query import PoolTools, Query, QueryAnswer, QueryRequest
+from bergamotgate.gather.query import PoolTools, Query
 from bergamotgate.gather.replicas import ReplicaBook
 from bergamotgate.metrics import Metrics
 from bergamotgate.outcomes import NotRun, NotRunReason, Refusal, Unknown
--- a/bergamotgate/gather/query.py
+++ b/bergamotgate/gather/query.py
@@ -3,15 +3,17 @@
 import asyncio
 import random
 from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from bergamotgate.clock import Clock, milliseconds
-from bergamotgate.config.tables import BelowCoverage, Pool, Route, Snapshot, Tables
+from bergamotgate.config.tables import BelowCoverage, Pool, Snapshot, Tables
+from bergamotgate.gather.answer import MissingShard, QueryAnswer, QueryRequest
 from bergamotgate.gather.budget import ExtraBudget
 from bergamotgate.gather.dispatcher import Dispatcher
 from bergamotgate.gather.latency import RecentLatency
 from bergamotgate.gather.limiter import Congestion
 from bergamotgate.gather.replicas import Candidate, ReplicaBook
+from bergamotgate.gather.shardstate import Attempt, ShardState
 from bergamotgate.metrics import Metrics
 from bergamotgate.outcomes import (
     PROVEN_NOT_RUN,
@@ -25,7 +27,7 @@
 from bergamotgate.quarantine.book import QuarantineBook, Suspicion
 from bergamotgate.wire.generated.ttypes import Batch, Outcome, Reason, SubReply, SubRequest
 
-__all__ = ["MissingShard", "PoolTools", "Query", "QueryAnswer", "QueryRequest"]
+__all__ = ["PoolTools", "Query"]
 
 RETURN_MARGIN_S = 0.005
 RETRY_AFTER_S = 0.02
@@ -36,59 +38,6 @@
 FREE_RETRY_REASONS = PROVEN_NOT_RUN - {Reason.SERVER_SHED, Reason.SERVER_DRAINING}
 
 
-@dataclass(frozen=True)
-class QueryRequest:
-    """A caller's request on its way to a pool.
-
-    Attributes:
-        route: The route that matched.
-        body: The caller's body.
-        arrived_at: When it came, in seconds.
-        deadline: When its answer is worthless, in seconds.
-        fingerprint: Hash of route and body.
-        key: The caller's idempotency key; empty for none.
-        promoted: Whether it takes the most urgent place in queues whatever its class.
-    """
-
-    route: Route
-    body: bytes
-    arrived_at: float
-    deadline: float
-    fingerprint: str
-    key: str = ""
-    promoted: bool = False
-
-
-@dataclass(frozen=True)
-class MissingShard:
-    """A shard without answer."""
-
-    shard: int
-    reason: str
-
-
-@dataclass(frozen=True)
-class QueryAnswer:
-    """An answer from one snapshot.
-
-    Attributes:
-        snapshot: Version of the index.
-        total: Number of shards of that version.
-        body_by_shard: Answers by shard number.
-        missing: Shards without answer, and why.
-    """
-
-    snapshot: str
-    total: int
-    body_by_shard: dict[int, bytes]
-    missing: tuple[MissingShard, ...]
-
-    @property
-    def coverage(self) -> float:
-        """Share of shards that answered."""
-        return len(self.body_by_shard) / self.total
-
-
 @dataclass(frozen=True)
 class PoolTools:
     """What all queries of a pool share at a gateway."""
@@ -103,31 +52,6 @@
     metrics: Metrics
 
 
-@dataclass
-class _Attempt:
-    """A sub-request on its way."""
-
-    number: int
-    shard: int
-    candidate: Candidate
-    sent_at: float
-    extra: bool
-
-
-@dataclass
-class _Shard:
-    """State of one shard in a query."""
-
-    body: bytes | None = None
-    reason: Reason = Reason.NONE
-    tries: int = 0
-    ran: bool = False
-    tried: set[str] = field(default_factory=set)
-    attempts: dict[int, _Attempt] = field(default_factory=dict)
-    retry_at: float | None = None
-    given_up: bool = False
-
-
 class Query:
     """Runs one query against one snapshot."""
 
@@ -149,7 +73,7 @@
         self._tools = tools
         self._suspicion = suspicion
         self._may_restart = may_restart
-        self._shards = [_Shard() for _ in snapshot.servers_by_shard]
+        self._shards = [ShardState() for _ in snapshot.servers_by_shard]
         self._shard_by_attempt: dict[int, int] = {}
         self._progress = asyncio.Event()
         self._answered = 0
@@ -248,7 +172,7 @@
         for shard, candidate in chosen:
             number = self._tools.dispatcher.next_attempt()
             state = self._shards[shard]
-            state.attempts[number] = _Attempt(number, shard, candidate, now, extra)
+            state.attempts[number] = Attempt(number, shard, candidate, now, extra)
             state.tried.add(candidate.server)
             state.tries += kind in ("first", "retry")
             state.retry_at = None
@@ -311,7 +235,7 @@
         elif len(self._shards) == 1 or self._suspicion.needs_canary:
             self._progress.set()
 
-    def _take_failure(self, shard: int, attempt: _Attempt, reply: SubReply) -> None:
+    def _take_failure(self, shard: int, attempt: Attempt, reply: SubReply) -> None:
         state = self._shards[shard]
         reason = reply.reason
         self._tools.metrics.declined.labels(self._pool.name, reason_name(reason)).inc()
@@ -364,7 +288,7 @@
         state.tried.clear()
         state.retry_at = self._now() + RETRY_AFTER_S * (1 + state.tries)
 
-    def _may_retry(self, state: _Shard, reason: Reason) -> bool:
+    def _may_retry(self, state: ShardState, reason: Reason) -> bool:
         if reason in PROVEN_NOT_RUN:
             return state.tries < MAX_TRIES
         repeatable = self._urgency.repeatable and not self._suspicion.suspected
@@ -404,7 +328,7 @@
                 continue
             self._send([(shard, candidate)], "hedge", extra=True, only_if_free=True)
 
-    def _hedge_candidate(self, shard: int, attempt: _Attempt) -> Candidate | None:
+    def _hedge_candidate(self, shard: int, attempt: Attempt) -> Candidate | None:
         """Another replica, or the same one again when the others are known to be far slower."""
         other = self._best(shard)
         if other is None:
--- a/bergamotgate/keeper/book.py
+++ b/bergamotgate/keeper/book.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from bergamotgate.clock import Clock, TaskGroup, milliseconds
-from bergamotgate.gather.query import QueryAnswer
+from bergamotgate.gather.answer import QueryAnswer
 from bergamotgate.keeper.token import KeeperToken, RequestKey
 from bergamotgate.outcomes import NotRun, NotRunReason, Refusal, Unknown, UnknownReason
 
--- a/bergamotgate/standin/fleet.py
+++ b/bergamotgate/standin/fleet.py
@@ -48,6 +48,7 @@
     connector: MemoryConnector | None = None
     context_name: str = ""
     naive_desk: NaiveDesk | None = None
+    start_task: asyncio.Task | None = None
 
 
 class Fleet:
@@ -68,7 +69,7 @@
         self.listed = {vm.name: "live" for vm in self.vms}
         self.revision = 1
         self.list_revision = 1
-        self.configuration = MemoryConfigurationService(self._tables())
+        self.configuration = MemoryConfigurationService(self.published_tables())
         self.vm_list = MemoryVmListService(self._vm_list())
 
     @property
@@ -143,7 +144,7 @@
     def publish_tables(self) -> None:
         """Publish the deployment's tables as a new revision."""
         self.revision += 1
-        self.configuration.publish(self._tables())
+        self.configuration.publish(self.published_tables())
 
     def publish_list(self) -> None:
         """Publish the VM list as a new revision."""
@@ -161,7 +162,9 @@
     def _naive_desk(self, vm: FleetVm) -> NaiveDesk:
         """The naive version on the same VM, with the tables of the moment it was first asked."""
         if vm.naive_desk is None:
-            vm.naive_desk = NaiveDesk(self._tables(), vm.connector, self.clock, vm.context_name)
+            vm.naive_desk = NaiveDesk(
+                self.published_tables(), vm.connector, self.clock, vm.context_name
+            )
         return vm.naive_desk
 
     def addresses_of(self, vm: FleetVm, zone: str) -> dict | None:
@@ -198,7 +201,8 @@
                 zones[server["address"]] = server["zone"]
         return zones
 
-    def _tables(self) -> PublishedTables:
+    def published_tables(self) -> PublishedTables:
+        """The deployment's tables under the newest revision."""
         deployment = self.deployment
         return PublishedTables(self.revision, deployment.routes_text(), deployment.pools_text())
 
--- a/bergamotgate/standin/memory.py
+++ b/bergamotgate/standin/memory.py
@@ -42,10 +42,11 @@
         self.generation = 0
         self.loss: Callable[[], bool] = lambda: False
 
-    def split(self, sides: list[list[str]]) -> None:
-        """Let only addresses of the same side reach each other."""
+    def split_zones(self, sides: tuple[tuple[str, ...], ...]) -> None:
+        """Let only zones of the same side reach each other."""
+        side_by_zone = {zone: number for number, side in enumerate(sides) for zone in side}
         self._side_by_address = {
-            address: number for number, side in enumerate(sides) for address in side
+            address: side_by_zone[zone] for address, zone in self._zone_by_address.items()
         }
 
     def cut_off_peers(self, addresses: set[str]) -> None:
--- a/bergamotgate/standin/stage.py
+++ b/bergamotgate/standin/stage.py
@@ -4,7 +4,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 
 from bergamotgate.caller import Caller, CallerReply, CallerResult, NoAddress, NoReply
@@ -281,10 +281,7 @@
         self._fleet.continue_vm(vm)
 
     def _do_split(self, *sides: tuple[str, ...]) -> None:
-        by_zone = self._fleet.faults._zone_by_address
-        self._fleet.faults.split(
-            [[address for address, zone in by_zone.items() if zone in side] for side in sides]
-        )
+        self._fleet.faults.split_zones(sides)
 
     def _do_cut_off(self, number: int) -> None:
         """Split one VM from the other VMs; callers and servers still reach everybody."""
@@ -345,9 +342,8 @@
 
     def _do_garbage(self) -> None:
         self._fleet.revision += 1
-        good = self._fleet.configuration
-        tables = self._fleet._tables()
-        good.publish(type(tables)(tables.revision, "{ garbage", tables.pools))
+        tables = self._fleet.published_tables()
+        self._fleet.configuration.publish(replace(tables, routes="{ garbage"))
 
     async def _do_crashing(self, route: str, times: int) -> None:
         """One caller sends a request that crashes servers again and again."""
