--- a/bergamotgate/standin/fleet.py
+++ b/bergamotgate/standin/fleet.py
@@ -12,8 +12,9 @@
 from bergamotgate.platform.memory import MemoryConfigurationService, MemoryVmListService
 from bergamotgate.platform.service import PublishedTables, PublishedVmList
 from bergamotgate.settings import Settings
+from bergamotgate.standin.connections import MemoryConnector
 from bergamotgate.standin.deployments import Deployment
-from bergamotgate.standin.memory import MemoryConnector, MemoryNetwork, NetworkFaults
+from bergamotgate.standin.memory import MemoryNetwork, NetworkFaults
 from bergamotgate.standin.naive import NaiveDesk
 from bergamotgate.standin.server import ServerLimits, StandinServer
 from bergamotgate.standin.virtual import VirtualLoop, vm_context
--- /dev/null
+++ b/bergamotgate/standin/measures.py
@@ -0,0 +1,49 @@
+"""Quantities that scenarios measure."""
+
+from bergamotgate.standin.promises import RequestRecord
+from bergamotgate.standin.server import CRASH_MARK, StandinServer
+from bergamotgate.standin.watch import FleetWatch
+
+__all__ = ["measure"]
+
+LOST_REASONS = ("no_answer",)
+
+
+def measure(
+    servers: tuple[StandinServer, ...], records: list[RequestRecord], watch: FleetWatch
+) -> dict[str, float]:
+    """Measured quantities by name, over some requests.
+
+    Args:
+        servers: All stand-in servers.
+        records: The requests to count.
+        watch: What was seen of the VMs.
+    """
+    records = [r for r in records if CRASH_MARK not in r.body]
+    total = max(1, len(records))
+    latencies = sorted(r.done_at - r.sent_at for r in records) or [0.0]
+    results = [r.result for r in records]
+    refusals = [r.done_at - r.sent_at for r in records if r.result.outcome == "not_run"]
+    runs = sum(len(server.observed.runs) for server in servers)
+    needed = sum(r.total_shards for r in results if r.answered) or 1
+    return {
+        "whole": sum(r.whole for r in results) / total,
+        "answered": sum(r.answered for r in results) / total,
+        "lost": sum(r.reason in LOST_REASONS for r in results) / total,
+        "unknown": sum(r.outcome == "unknown" for r in results) / total,
+        "refused": sum(r.outcome == "not_run" for r in results) / total,
+        "goodput": sum(r.whole for r in results) / _span_s(records),
+        "refusal_ms": 1000 * max(refusals, default=0.0),
+        "p50_ms": 1000 * latencies[len(latencies) // 2],
+        "p99_ms": 1000 * latencies[int(len(latencies) * 0.99)],
+        "extra": max(0.0, runs / needed - 1),
+        "agree_s": watch.longest_disagreement_s,
+        "in_force_s": watch.slowest_in_force_s,
+        "crashes": sum(server.observed.crashes for server in servers),
+    }
+
+
+def _span_s(records: list[RequestRecord]) -> float:
+    """Seconds from the first to the last sending."""
+    sent = [record.sent_at for record in records]
+    return max(1.0, max(sent) - min(sent)) if sent else 1.0
--- a/bergamotgate/standin/naive.py
+++ b/bergamotgate/standin/naive.py
@@ -14,7 +14,7 @@
 from bergamotgate.gather.answer import MissingShard, QueryAnswer
 from bergamotgate.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
 from bergamotgate.platform.service import PublishedTables
-from bergamotgate.standin.memory import MemoryConnector
+from bergamotgate.standin.connections import MemoryConnector
 
 __all__ = ["NaiveDesk"]
 
--- a/bergamotgate/standin/stage.py
+++ b/bergamotgate/standin/stage.py
@@ -7,11 +7,12 @@
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 
-from bergamotgate.caller import Caller, CallerReply, CallerResult, NoAddress, NoReply
+from bergamotgate.caller import Caller, CallerResult, NoAddress
 from bergamotgate.clock import LoopClock
-from bergamotgate.front.desk import CallerRequest
 from bergamotgate.standin.deployments import Deployment, build_deployment, load_texts
 from bergamotgate.standin.fleet import Fleet, FleetVm
+from bergamotgate.standin.fleetcaller import FleetCaller, FleetTransport
+from bergamotgate.standin.measures import measure
 from bergamotgate.standin.promises import (
     Evidence,
     NoWorkSpan,
@@ -22,18 +23,16 @@
 from bergamotgate.standin.scenario import Scenario
 from bergamotgate.standin.server import CRASH_MARK, StandinServer
 from bergamotgate.standin.virtual import run_virtual
+from bergamotgate.standin.watch import FleetWatch
 
 __all__ = ["Report", "play"]
 
 EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
-CALLER_WAY_S = 0.001
 START_S = 6.0
 AFTER_S = 3.0
 NO_WORK_AFTER_S = 5.0
-WATCH_EVERY_S = 0.05
 ANSWER_TIMEOUT_MS = 2000
 CALLERS_PER_ZONE = 2
-LOST_REASONS = ("no_answer",)
 DEFAULT_ROUTES = {
     "classes": {
         "urgent": {"deadline_ms": 400, "hedging": True, "repeatable": True},
@@ -102,45 +101,6 @@
     return run_virtual(lambda: _Stage(scenario, seed, sabotage, naive).run())
 
 
-class _FleetTransport:
-    """Carries callers' messages into a virtual fleet."""
-
-    def __init__(self, fleet: Fleet):
-        self._fleet = fleet
-        self._vm_by_http = {vm.http: vm for vm in fleet.vms}
-
-    async def fetch(
-        self,
-        address: str,
-        method: str,
-        path: str,
-        headers: dict[str, str],
-        body: bytes,
-        timeout_s: float,
-    ) -> CallerReply:
-        vm = self._vm_by_http[address]
-        await asyncio.sleep(CALLER_WAY_S)
-        if vm.node is None:
-            raise NoReply(address)
-        request = CallerRequest(
-            method,
-            path,
-            body,
-            headers.get("X-Deadline-Ms"),
-            headers.get("X-Key"),
-            headers.get("X-Sending") == "1",
-        )
-        asked = asyncio.ensure_future(self._fleet.ask(vm, request))
-        await asyncio.wait({asked}, timeout=timeout_s)
-        if not asked.done() or asked.cancelled():
-            raise NoReply(address)
-        answer = asked.result()
-        if answer is None:
-            raise NoReply(address)
-        await asyncio.sleep(CALLER_WAY_S)
-        return CallerReply(answer.status, answer.headers, answer.body)
-
-
 class _Stage:
     """One run of a scenario."""
 
@@ -162,7 +122,7 @@
         self._number = 0
         self._zero = 0.0
         self._first_requests = 0
-        self._watch = _Watch(self._fleet)
+        self._watch = FleetWatch(self._fleet)
 
     async def run(self) -> Report:
         """Play everything and judge it."""
@@ -195,10 +155,10 @@
         await asyncio.gather(*tasks)
 
     def _callers(self) -> list[Caller]:
-        transport = _FleetTransport(self._fleet)
+        transport = FleetTransport(self._fleet)
         known = [vm.http for vm in self._fleet.vms]
         return [
-            _FleetCaller(known, zone, transport, LoopClock(), self._rng)
+            FleetCaller(known, zone, transport, LoopClock(), self._rng)
             for zone in self._deployment.zones
             for _ in range(CALLERS_PER_ZONE)
         ]
@@ -418,6 +378,12 @@
                 failed.append(f"{expectation}, measured {value:.4g}")
         return Report(violations, measures, failed, self._records)
 
+    def _measures(
+        self, servers: tuple[StandinServer, ...], records: list[RequestRecord]
+    ) -> dict[str, float]:
+        cut = sum(not drain.result() for drain in self._drains if drain.done())
+        return measure(servers, records, self._watch) | {"drain_cut": float(cut)}
+
     def _shard_counts(self) -> dict[str, int]:
         counts = {}
         for route, entry in self._deployment.routes["routes"].items():
@@ -426,115 +392,6 @@
                 counts[f"{route}/{snapshot['name']}"] = len(snapshot["shards"])
         return counts
 
-    def _measures(
-        self, servers: tuple[StandinServer, ...], records: list[RequestRecord]
-    ) -> dict[str, float]:
-        records = [r for r in records if CRASH_MARK not in r.body]
-        total = max(1, len(records))
-        latencies = sorted(r.done_at - r.sent_at for r in records) or [0.0]
-        results = [r.result for r in records]
-        refusals = [r.done_at - r.sent_at for r in records if r.result.outcome == "not_run"]
-        runs = sum(len(server.observed.runs) for server in servers)
-        needed = sum(r.total_shards for r in results if r.answered) or 1
-        return {
-            "whole": sum(r.whole for r in results) / total,
-            "answered": sum(r.answered for r in results) / total,
-            "lost": sum(r.reason in LOST_REASONS for r in results) / total,
-            "unknown": sum(r.outcome == "unknown" for r in results) / total,
-            "refused": sum(r.outcome == "not_run" for r in results) / total,
-            "goodput": sum(r.whole for r in results) / _span_s(records),
-            "refusal_ms": 1000 * max(refusals, default=0.0),
-            "p50_ms": 1000 * latencies[len(latencies) // 2],
-            "p99_ms": 1000 * latencies[int(len(latencies) * 0.99)],
-            "extra": max(0.0, runs / needed - 1),
-            "agree_s": self._watch.longest_disagreement_s,
-            "in_force_s": self._watch.slowest_in_force_s,
-            "crashes": sum(server.observed.crashes for server in servers),
-            "drain_cut": sum(not d.result() for d in self._drains if d.done()),
-        }
-
-
-class _FleetCaller(Caller):
-    """A caller in a virtual fleet, where the question for addresses needs no HTTP."""
-
-    async def addresses(self) -> dict:
-        """Ask a VM of the fleet."""
-        fleet = self._transport._fleet
-        for address in self._to_ask():
-            vm = self._transport._vm_by_http[address]
-            await asyncio.sleep(CALLER_WAY_S)
-            if vm.node is None or vm.context_name in fleet.loop.stopped:
-                continue
-            answer = fleet.addresses_of(vm, self._zone)
-            if answer is not None and answer["addresses"]:
-                await asyncio.sleep(CALLER_WAY_S)
-                return answer
-        raise NoAddress(self._known)
-
-
-class _Watch:
-    """Looks at the VMs from outside: revisions in force, reverts, and how long views differ."""
-
-    def __init__(self, fleet: Fleet):
-        self._fleet = fleet
-        self._seen_by_process: dict[str, int] = {}
-        self._published_at: dict[int, float] = {}
-        self._disagree_since: float | None = None
-        self.violations: list[Violation] = []
-        self.longest_disagreement_s = 0.0
-        self.slowest_in_force_s = 0.0
-
-    def published(self, revision: int) -> None:
-        """Note a publication that should come into force."""
-        self._published_at[revision] = asyncio.get_running_loop().time()
-
-    async def run(self) -> None:
-        """Look until cancelled."""
-        while True:
-            self._look(asyncio.get_running_loop().time())
-            await asyncio.sleep(WATCH_EVERY_S)
-
-    def _look(self, now: float) -> None:
-        running = [
-            vm
-            for vm in self._fleet.vms
-            if vm.node is not None and vm.context_name not in self._fleet.loop.stopped
-        ]
-        for vm in running:
-            self._note_revision(vm)
-        lowest = min((vm.node.tables.revision for vm in running), default=-1)
-        for revision, at in list(self._published_at.items()):
-            if lowest >= revision:
-                self.slowest_in_force_s = max(self.slowest_in_force_s, now - at)
-                del self._published_at[revision]
-            else:
-                self.slowest_in_force_s = max(self.slowest_in_force_s, now - at)
-        self._compare_views(running, now)
-
-    def _note_revision(self, vm: FleetVm) -> None:
-        before = self._seen_by_process.get(vm.context_name, -1)
-        revision = vm.node.tables.revision
-        if revision < before:
-            self.violations.append(Violation("never reverts", f"{vm.name}: {before} to {revision}"))
-        self._seen_by_process[vm.context_name] = revision
-
-    def _compare_views(self, running: list[FleetVm], now: float) -> None:
-        """Views agree when every running VM sees exactly the running VMs as reachable."""
-        names = {vm.name for vm in running if not vm.node.desk.draining}
-        agree = all({m.vm for m in vm.node.members.all() if m.reachable} == names for vm in running)
-        if agree:
-            self._disagree_since = None
-            return
-        if self._disagree_since is None:
-            self._disagree_since = now
-        self.longest_disagreement_s = max(self.longest_disagreement_s, now - self._disagree_since)
-
-
-def _span_s(records: list[RequestRecord]) -> float:
-    """Seconds from the first to the last sending."""
-    sent = [record.sent_at for record in records]
-    return max(1.0, max(sent) - min(sent)) if sent else 1.0
-
 
 def _deployment(scenario: Scenario) -> Deployment:
     if scenario.tables:
