Hedge at the same server when no other replica takes work; allow 10 extra sub-requests after a start

Cause: with a zone out, shards whose other replica was there were never hedged (a stall cost its 0.3 s); a gateway with little traffic had 2 extra sub-requests and none left after its first two stragglers.

--- a/bergamotgate/gather/budget.py
+++ b/bergamotgate/gather/budget.py
@@ -1,14 +1,15 @@
 """Bounds the extra sub-requests of a pool: hedges and retries share one budget.
 
-Each gateway may add a fixed share of its own first sub-requests. As the shares are relative, they
-add up to the same share of the whole fleet's, whatever the number of gateways.
+Each gateway may add a fixed share of its own first sub-requests, and a few more after its start. As
+the shares are relative, they add up to the same share of the whole fleet's, whatever the number of
+gateways.
 """
 
 __all__ = ["EXTRA_SHARE", "ExtraBudget"]
 
 EXTRA_SHARE = 0.05
 MAX_SAVED = 20.0
-FIRST_SAVED = 2.0
+FIRST_SAVED = 10.0
 
 
 class ExtraBudget:
--- a/bergamotgate/gather/query.py
+++ b/bergamotgate/gather/query.py
@@ -324,15 +324,15 @@
             if now - attempt.sent_at < late_s:
                 continue
             candidate = self._hedge_candidate(shard, attempt)
-            if candidate is None or not self._tools.budget.take():
+            if not self._tools.budget.take():
                 continue
             self._send([(shard, candidate)], "hedge", extra=True, only_if_free=True)
 
-    def _hedge_candidate(self, shard: int, attempt: Attempt) -> Candidate | None:
-        """Another replica, or the same one again when the others are known to be far slower."""
+    def _hedge_candidate(self, shard: int, attempt: Attempt) -> Candidate:
+        """Another replica, or the same one again when there is none or it is far slower."""
         other = self._best(shard)
         if other is None:
-            return None
+            return attempt.candidate
         latency_of = self._tools.replicas.usual_latency_s
         same_s = latency_of(self._pool.name, attempt.candidate.server)
         if latency_of(self._pool.name, other.server) > SLOWER_FACTOR * same_s:
