Hedge a second time, at the time that was planned, and not twice at a server that has no slot

The hedge planned for the 95th percentile was skipped once by a rounding difference and so went out at twice that time. Change: up to three attempts; the planned time is 1.6 times the 95th percentile, kept with a slack; after one hedge at the same server the other replica is next.

--- a/bergamotgate/gather/latency.py
+++ b/bergamotgate/gather/latency.py
@@ -12,6 +12,7 @@
 WINDOW_S = 5.0
 REFRESH_S = 0.25
 LATE_PERCENTILE = 95.0
+LATE_FACTOR = 1.6
 DEFAULT_LATE_S = 0.05
 FEWEST_SAMPLES = 50
 
@@ -46,4 +47,5 @@
             self._current.reset()
         fuller = max(self._current, self._previous, key=lambda h: h.get_total_count())
         if fuller.get_total_count() >= FEWEST_SAMPLES:
-            self._late_s = fuller.get_value_at_percentile(LATE_PERCENTILE) / 1_000_000
+            usual_us = fuller.get_value_at_percentile(LATE_PERCENTILE)
+            self._late_s = LATE_FACTOR * usual_us / 1_000_000
--- a/bergamotgate/gather/query.py
+++ b/bergamotgate/gather/query.py
@@ -33,6 +33,8 @@
 RETRY_AFTER_S = 0.02
 MAX_TRIES = 6
 SLOWER_FACTOR = 4.0
+MAX_ATTEMPTS = 3
+LATE_SLACK = 0.9
 CONGESTED_SHARE = 0.3
 CONGESTION_REASONS = frozenset({Reason.EXPIRED_IN_QUEUE, Reason.QUEUE_FULL, Reason.SERVER_SHED})
 FREE_RETRY_REASONS = PROVEN_NOT_RUN - {Reason.SERVER_SHED, Reason.SERVER_DRAINING}
@@ -313,30 +315,36 @@
     def _hedge_stragglers(self, now: float) -> None:
         """Ask another replica for each shard that is late, as far as the budget goes."""
         late_s = self._tools.latency.late_after_s()
+        # The quantile moves a little between planning a hedge and sending it, hence the slack.
         self._hedge_at = now + late_s
         if self._suspicion.suspected:
             self._hedge_at = float("inf")
             return
         for shard, state in enumerate(self._shards):
-            if state.body is not None or len(state.attempts) != 1:
+            if state.body is not None or not 0 < len(state.attempts) < MAX_ATTEMPTS:
                 continue
-            (attempt,) = state.attempts.values()
-            if now - attempt.sent_at < late_s:
+            attempts = list(state.attempts.values())
+            if now - attempts[-1].sent_at < LATE_SLACK * late_s:
                 continue
-            candidate = self._hedge_candidate(shard, attempt)
             if not self._tools.budget.take():
-                continue
+                return
+            state.hedges += 1
+            candidate = self._hedge_candidate(shard, attempts)
             self._send([(shard, candidate)], "hedge", extra=True, only_if_free=True)
 
-    def _hedge_candidate(self, shard: int, attempt: Attempt) -> Candidate:
-        """Another replica, or the same one again when there is none or it is far slower."""
+    def _hedge_candidate(self, shard: int, attempts: list[Attempt]) -> Candidate:
+        """Another replica, or one that was asked when there is none or it is far slower."""
+        asked = [attempt.candidate for attempt in attempts]
+        least_asked = min(asked, key=asked.count)
         other = self._best(shard)
         if other is None:
-            return attempt.candidate
+            return least_asked
+        if self._shards[shard].hedges > 1:
+            return other  # asking the same server again has not helped
         latency_of = self._tools.replicas.usual_latency_s
-        same_s = latency_of(self._pool.name, attempt.candidate.server)
-        if latency_of(self._pool.name, other.server) > SLOWER_FACTOR * same_s:
-            return attempt.candidate
+        asked_s = latency_of(self._pool.name, least_asked.server)
+        if latency_of(self._pool.name, other.server) > SLOWER_FACTOR * asked_s:
+            return least_asked
         return other
 
     def _cancel(self, shard: int) -> None:
--- a/bergamotgate/gather/shardstate.py
+++ b/bergamotgate/gather/shardstate.py
@@ -35,6 +35,7 @@
         body: The answer, or None.
         reason: Why the last attempt failed.
         tries: First sendings and retries so far.
+        hedges: Hedges so far, declined ones included.
         ran: Whether some attempt may have run.
         tried: Servers that need not be tried again now.
         attempts: Sub-requests on their way, by number.
@@ -45,6 +46,7 @@
     body: bytes | None = None
     reason: Reason = Reason.NONE
     tries: int = 0
+    hedges: int = 0
     ran: bool = False
     tried: set[str] = field(default_factory=set)
     attempts: dict[int, Attempt] = field(default_factory=dict)
