Take answers that were given up late as a sign of cold start

Change: two answers in a row that were given up after twice the usual time make a server cold; a test.

--- a/bergamotgate/admission/server.py
+++ b/bergamotgate/admission/server.py
@@ -95,6 +95,7 @@
             self.queue.cancel(job)
         elif job.stage is JobStage.RUNNING:
             job.stage = JobStage.DONE
+            self.warmth.note_given_up(self._clock.now() - job.started_at)
             if self._may_close():
                 job.connection.close()
 
--- a/bergamotgate/admission/warmth.py
+++ b/bergamotgate/admission/warmth.py
@@ -10,6 +10,8 @@
 SLOW_FACTOR = 5.0
 SLOW_FLOOR_S = 0.02
 SLOW_RUN = 3
+LATE_FACTOR = 2.0
+GIVEN_UP_WEIGHT = 2
 SMOOTHING = 0.1
 
 
@@ -56,6 +58,18 @@
             return
         self._answers_in_row += 1
 
+    def note_given_up(self, waited_s: float) -> None:
+        """Learn from an answer that nobody waits for any more.
+
+        Gateways give up what is late, so a server that turned cold may never get to say so. Two
+        late ones in a row are sign enough; one may be a stall.
+        """
+        if self._usual_s is None or waited_s < max(SLOW_FLOOR_S, LATE_FACTOR * self._usual_s):
+            return
+        self._slow_in_row += GIVEN_UP_WEIGHT
+        if self._slow_in_row >= SLOW_RUN:
+            self.chill()
+
     def _is_slow_run(self, service_s: float) -> bool:
         usual_s = self._usual_s
         if usual_s is None:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -106,6 +106,16 @@
     check.assertFalse(warmth.is_warm)
 
 
+def test_two_answers_given_up_late_make_a_server_cold_one_does_not():
+    warmth = make_warm()
+    warmth.note_given_up(0.05)
+    check.assertTrue(warmth.is_warm)
+    warmth.note_given_up(0.015)
+    check.assertTrue(warmth.is_warm)
+    warmth.note_given_up(0.05)
+    check.assertFalse(warmth.is_warm)
+
+
 @virtual
 async def test_pressure_halves_when_a_server_sheds_and_recovers():
     pressure = Pressure(8, LoopClock())
