--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -102,6 +102,9 @@
     await asyncio.sleep(1)
     request = BackendRequest("i", "p", "", 0, 1000, True, "", b"x")
     await asyncio.gather(server.run(request), server.run(request))
+    check.assertEqual([], check_promises(Evidence((server,), ())))
+    await asyncio.sleep(1)
+    await asyncio.gather(server.run(request), server.run(request))
     broken = check_promises(Evidence((server,), ()))
     check.assertEqual(["cold start"], [violation.promise for violation in broken])
 
