Limit a server in doubt to its cold allowance; judge cold starts by the time without answer

Tried and dropped: holding back while any request in progress is late. Change: after one late answer a server gets only its cold allowance until a usual one; the check counts as knowable what 0.1 s of unanswered time at the server tells, all requests taken together, instead of 0.1 s on the clock since the first of them.

--- a/bergamotgate/admission/server.py
+++ b/bergamotgate/admission/server.py
@@ -102,7 +102,8 @@
     def allowance(self) -> int:
         """Requests that may be in progress now."""
         share = self._share()
-        slots = share.slots if self.warmth.is_warm else share.cold_slots
+        sure = self.warmth.is_warm and not self.warmth.in_doubt
+        slots = share.slots if sure else share.cold_slots
         if self._clock.now() < self._rest_until:
             return 0
         return min(slots, self.pressure.limit())
--- a/bergamotgate/admission/warmth.py
+++ b/bergamotgate/admission/warmth.py
@@ -34,11 +34,23 @@
         """Whether the server bears its full slots."""
         return self._answers_in_row >= self._warm_after
 
+    @property
+    def in_doubt(self) -> bool:
+        """Whether the last answer was slow or was given up late, which may be a cold start."""
+        return self._slow_in_row > 0
+
     @property
     def usual_s(self) -> float:
         """Usual service time in seconds; 0 while unknown."""
         return self._usual_s or 0.0
 
+    @property
+    def late_after_s(self) -> float:
+        """Time after which an answer is late for this server, in seconds."""
+        if self._usual_s is None:
+            return float("inf")
+        return max(SLOW_FLOOR_S, LATE_FACTOR * self._usual_s)
+
     def chill(self) -> None:
         """Take the server as cold."""
         self._answers_in_row = 0
@@ -64,7 +76,7 @@
         Gateways give up what is late, so a server that turned cold may never get to say so. Two
         late ones in a row are sign enough; one may be a stall.
         """
-        if self._usual_s is None or waited_s < max(SLOW_FLOOR_S, LATE_FACTOR * self._usual_s):
+        if waited_s < self.late_after_s:
             return
         self._slow_in_row += GIVEN_UP_WEIGHT
         if self._slow_in_row >= SLOW_RUN:
--- a/bergamotgate/standin/server.py
+++ b/bergamotgate/standin/server.py
@@ -127,7 +127,8 @@
         self._rng = rng
         self.incarnation = 1
         self._cold_left = 0
-        self._first_cold_start: float | None = None
+        self._cold_work_ended_s = 0.0
+        self._cold_starts: list[float] = []
         self._told_cold_at: float | None = None
         self._ended = asyncio.Event()
 
@@ -139,7 +140,8 @@
     def turn_cold(self) -> None:
         """Lose its caches without a word."""
         self._cold_left = self.limits.cold_answers
-        self._first_cold_start = None
+        self._cold_work_ended_s = 0.0
+        self._cold_starts = []
         self._told_cold_at = None
 
     def crash(self) -> None:
@@ -178,11 +180,15 @@
         self._note_start(request)
         ended = self._ended
         self.running += 1
+        started_at = self._clock.now()
         try:
             crashed = await self._work(request, ended)
         finally:
             if ended is self._ended:
                 self.running -= 1
+            if started_at in self._cold_starts:
+                self._cold_starts.remove(started_at)
+                self._cold_work_ended_s += self._clock.now() - started_at
         if crashed:
             return None
         if self._cold_left > 0:
@@ -225,19 +231,20 @@
         self.observed.most_running = max(self.observed.most_running, self.running + 1)
         if not self.cold:
             return
-        if self._first_cold_start is None:
-            self._first_cold_start = now
         if self._cold_is_known(now) and self.running >= self.limits.cold_slots:
             self.observed.over_cold += 1
+        self._cold_starts.append(now)
 
     def _cold_is_known(self, now: float) -> bool:
         """Whether a careful owner knows by now: from a reply, or from replies that do not come.
 
-        Before anything was sent to it a server that turned cold without a word gives no sign.
+        A server that turned cold without a word gives no sign but the time that requests spend
+        there without answer, those that were given up included.
         """
         if self._told_cold_at is not None and now - self._told_cold_at > TOLD_NOTICE_S:
             return True
-        return now - self._first_cold_start > COLD_NOTICE_S
+        unanswered_s = self._cold_work_ended_s + sum(now - start for start in self._cold_starts)
+        return unanswered_s > COLD_NOTICE_S
 
     def _service_s(self) -> float:
         behaviour = self.behaviour
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -110,6 +110,7 @@
     warmth = make_warm()
     warmth.note_given_up(0.05)
     check.assertTrue(warmth.is_warm)
+    check.assertTrue(warmth.in_doubt)
     warmth.note_given_up(0.015)
     check.assertTrue(warmth.is_warm)
     warmth.note_given_up(0.05)
