Tell a VM that starts what is quarantined; one message type for callers; take out what nobody calls

Cause: a search for functions without caller showed that the strikes for a starting process were told to nobody, so a replaced VM would have run a quarantined request again. It also showed three dead functions, and the arguments of a caller's message stood three times. Change: a process that joins is sent the strikes that still count, with a test; CallerMessage; the dead code is gone; tests share the fixture of a served node. Conclusion: the refusal of a request that crashes servers outlives the VMs that saw it.

--- a/bergamotgate/caller/__init__.py
+++ b/bergamotgate/caller/__init__.py
@@ -2,6 +2,7 @@
 
 from bergamotgate.caller.caller import Caller, CallerResult
 from bergamotgate.caller.transport import (
+    CallerMessage,
     CallerReply,
     CallerTransport,
     HttpTransport,
@@ -11,6 +12,7 @@
 
 __all__ = [
     "Caller",
+    "CallerMessage",
     "CallerReply",
     "CallerResult",
     "CallerTransport",
--- a/bergamotgate/caller/caller.py
+++ b/bergamotgate/caller/caller.py
@@ -8,6 +8,7 @@
 from urllib.parse import urlsplit
 
 from bergamotgate.caller.transport import (
+    CallerMessage,
     CallerReply,
     CallerTransport,
     HttpTransport,
@@ -73,17 +74,6 @@
         return self.answered and self.answered_shards == self.total_shards
 
 
-@dataclass(frozen=True)
-class _Message:
-    """One request as it travels, whatever VM it goes to."""
-
-    method: str
-    path: str
-    body: bytes
-    headers: dict[str, str]
-    timeout_s: float
-
-
 class Caller:
     """Sends requests to a fleet of which it knows a few addresses."""
 
@@ -156,7 +146,7 @@
             address = self._addresses[0]
             headers = _headers(deadline_ms, key, key_sendings)
             timeout_s = deadline_ms / 1000 + ANSWER_MARGIN_S
-            message = _Message(method, path, body, headers, timeout_s)
+            message = CallerMessage(method, path, body, headers, timeout_s)
             last = await self._send_to(address, message)
             result = _combined(result, replace(last, sendings=sending), key is not None)
             if result.answered:
@@ -170,7 +160,7 @@
             self._forget(address)
         return result
 
-    async def _send_to(self, address: str, message: _Message) -> CallerResult:
+    async def _send_to(self, address: str, message: CallerMessage) -> CallerResult:
         try:
             reply, vm = await self._fetch(address, message)
         except NoReply:
@@ -179,22 +169,20 @@
             return CallerResult(False, "not_run", "redirects", vm=vm)
         return _read(reply, vm)
 
-    async def _fetch(self, address: str, message: _Message) -> tuple[CallerReply, str]:
+    async def _fetch(self, address: str, message: CallerMessage) -> tuple[CallerReply, str]:
         """Send a message and follow redirects; return the last reply and who gave it."""
-        path = message.path
         for _ in range(MAX_REDIRECTS):
-            reply = await self._transport.fetch(
-                address, message.method, path, message.headers, message.body, message.timeout_s
-            )
+            reply = await self._transport.fetch(address, message)
             if reply.status != HTTP_REDIRECT:
                 break
             target = urlsplit(reply.headers["Location"])
             address = target.netloc
-            path = target.path + (f"?{target.query}" if target.query else "")
+            query = f"?{target.query}" if target.query else ""
+            message = replace(message, path=target.path + query)
         return reply, address
 
-    def _address_question(self) -> _Message:
-        return _Message("GET", f"/-/addresses?zone={self._zone}", b"", {}, ADDRESS_TIMEOUT_S)
+    def _address_question(self) -> CallerMessage:
+        return CallerMessage("GET", f"/-/addresses?zone={self._zone}", b"", {}, ADDRESS_TIMEOUT_S)
 
     def _worth_sending_again(self, result: CallerResult) -> bool:
         if result.reason in ("no_answer", "keeper_unasked"):
--- a/bergamotgate/caller/transport.py
+++ b/bergamotgate/caller/transport.py
@@ -9,7 +9,14 @@
 
 from bergamotgate.errors import BergamotgateError
 
-__all__ = ["CallerReply", "CallerTransport", "HttpTransport", "NoAddress", "NoReply"]
+__all__ = [
+    "CallerMessage",
+    "CallerReply",
+    "CallerTransport",
+    "HttpTransport",
+    "NoAddress",
+    "NoReply",
+]
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_CONNECTIONS = 200
@@ -54,18 +61,29 @@
     body: bytes
 
 
+@dataclass(frozen=True)
+class CallerMessage:
+    """One request as it travels, whatever VM it goes to.
+
+    Attributes:
+        method: HTTP method.
+        path: Path with query.
+        body: Body.
+        headers: Headers.
+        timeout_s: Longest time to wait for a reply.
+    """
+
+    method: str
+    path: str
+    body: bytes
+    headers: dict[str, str]
+    timeout_s: float
+
+
 class CallerTransport(Protocol):
     """Sends one message and waits for its reply."""
 
-    async def fetch(
-        self,
-        address: str,
-        method: str,
-        path: str,
-        headers: dict[str, str],
-        body: bytes,
-        timeout_s: float,
-    ) -> CallerReply:
+    async def fetch(self, address: str, message: CallerMessage) -> CallerReply:
         """Send a message.
 
         Raises:
@@ -79,23 +97,15 @@
     def __init__(self) -> None:
         self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CONNECTIONS)
 
-    async def fetch(
-        self,
-        address: str,
-        method: str,
-        path: str,
-        headers: dict[str, str],
-        body: bytes,
-        timeout_s: float,
-    ) -> CallerReply:
+    async def fetch(self, address: str, message: CallerMessage) -> CallerReply:
         """Send a message over HTTP."""
         request = HTTPRequest(
-            f"http://{address}{path}",
-            method=method,
-            headers=headers | {"Expect": ""},
-            body=body if method != "GET" else None,
-            request_timeout=timeout_s,
-            connect_timeout=min(timeout_s, CONNECT_TIMEOUT_S),
+            f"http://{address}{message.path}",
+            method=message.method,
+            headers=message.headers | {"Expect": ""},
+            body=message.body if message.method != "GET" else None,
+            request_timeout=message.timeout_s,
+            connect_timeout=min(message.timeout_s, CONNECT_TIMEOUT_S),
             follow_redirects=False,
             allow_nonstandard_methods=True,
         )
--- a/bergamotgate/config/tables.py
+++ b/bergamotgate/config/tables.py
@@ -153,10 +153,6 @@
             for name in self.server_by_name
         }
 
-    def snapshot_named(self, name: str) -> Snapshot | None:
-        """The snapshot of that name, or None."""
-        return next((snapshot for snapshot in self.snapshots if snapshot.name == name), None)
-
 
 @dataclass(frozen=True)
 class Tables:
--- a/bergamotgate/gather/gatherer.py
+++ b/bergamotgate/gather/gatherer.py
@@ -96,10 +96,6 @@
         rows = pool.snapshots[0].servers_by_shard
         return pool.slots * min(len(row) for row in rows)
 
-    def budget(self, pool: str) -> ExtraBudget:
-        """The budget of a pool."""
-        return self._pool_tools(pool).budget
-
     async def _run_admitted(
         self, request: QueryRequest, suspicion: Suspicion
     ) -> tuple[Result, Congestion]:
--- a/bergamotgate/membership/confirmation.py
+++ b/bergamotgate/membership/confirmation.py
@@ -30,7 +30,3 @@
     def is_fresh(self) -> bool:
         """Whether work may be sent on the present view."""
         return self.alone or self._clock.now() - self._confirmed_at <= VIEW_FRESH_S
-
-    def age_s(self) -> float:
-        """Seconds since the last confirmed question."""
-        return self._clock.now() - self._confirmed_at
--- a/bergamotgate/quarantine/book.py
+++ b/bergamotgate/quarantine/book.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from bergamotgate.clock import Clock
+from bergamotgate.clock import Clock, milliseconds
 from bergamotgate.config.tables import Canary
 from bergamotgate.metrics import Metrics
 from bergamotgate.wire.generated.ttypes import Datagram, Strike
@@ -21,6 +21,7 @@
 
 REMEMBER_S = 60.0
 MAX_FINGERPRINTS = 10_000
+STRIKES_PER_DATAGRAM = 16
 MAX_GOOD = 100_000
 
 
@@ -133,7 +134,22 @@
                 self._record_by_fingerprint.popitem(last=False)
         return record
 
+    def _tell_all(self, address: str) -> None:
+        """Tell a process that joins of every strike that still counts."""
+        now = self._clock.now()
+        strikes = [
+            Strike(name, run, struck.suspected, milliseconds(now - struck.at))
+            for name, record in self._record_by_fingerprint.items()
+            for run, struck in record.strike_by_run.items()
+            if now - struck.at < REMEMBER_S
+        ]
+        for start in range(0, len(strikes), STRIKES_PER_DATAGRAM):
+            chunk = strikes[start : start + STRIKES_PER_DATAGRAM]
+            self._port.send(address, strikes=chunk)
+
     def _receive(self, address: str, message: Datagram) -> None:
+        if message.reply_wanted:
+            self._tell_all(address)
         for strike in message.strikes or ():
             strike_by_run = self._record(strike.fingerprint).strike_by_run
             if strike.run not in strike_by_run:
--- a/bergamotgate/standin/fleetcaller.py
+++ b/bergamotgate/standin/fleetcaller.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from bergamotgate.caller import Caller, CallerReply, NoAddress, NoReply
+from bergamotgate.caller import Caller, CallerMessage, CallerReply, NoAddress, NoReply
 from bergamotgate.front.desk import CallerRequest
 from bergamotgate.standin.fleet import Fleet
 
@@ -23,30 +23,22 @@
         self.fleet = fleet
         self.vm_by_http = {vm.http: vm for vm in fleet.vms}
 
-    async def fetch(
-        self,
-        address: str,
-        method: str,
-        path: str,
-        headers: dict[str, str],
-        body: bytes,
-        timeout_s: float,
-    ) -> CallerReply:
+    async def fetch(self, address: str, message: CallerMessage) -> CallerReply:
         """Send a message to a VM of the fleet."""
         vm = self.vm_by_http[address]
         await asyncio.sleep(CALLER_WAY_S)
         if vm.node is None:
             raise NoReply(address)
         request = CallerRequest(
-            method,
-            path,
-            body,
-            headers.get("X-Deadline-Ms"),
-            headers.get("X-Key"),
-            headers.get("X-Sending") == "1",
+            message.method,
+            message.path,
+            message.body,
+            message.headers.get("X-Deadline-Ms"),
+            message.headers.get("X-Key"),
+            message.headers.get("X-Sending") == "1",
         )
         asked = asyncio.ensure_future(self.fleet.ask(vm, request))
-        await asyncio.wait({asked}, timeout=timeout_s)
+        await asyncio.wait({asked}, timeout=message.timeout_s)
         if not asked.done() or asked.cancelled():
             raise NoReply(address)
         answer = asked.result()
--- a/bergamotgate/standin/stage.py
+++ b/bergamotgate/standin/stage.py
@@ -31,7 +31,6 @@
 START_S = 6.0
 AFTER_S = 3.0
 NO_WORK_AFTER_S = 5.0
-ANSWER_TIMEOUT_MS = 2000
 CALLERS_PER_ZONE = 2
 DEFAULT_ROUTES = {
     "classes": {
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,8 +1,9 @@
-"""The VM list, the services in memory, and who calls them."""
+"""The VM list, the services in memory, who calls them, and what a VM that starts hears."""
 
 import asyncio
 import json
 
+from bergamotgate.config import Canary
 from bergamotgate.errors import PlatformUnavailable, VmListRejected
 from bergamotgate.metrics import Metrics
 from bergamotgate.platform import MemoryVmListService, read_vm_list
@@ -67,4 +68,17 @@
     check.assertLessEqual(await calls_of(15), most)
 
 
+@virtual
+async def test_a_vm_that_starts_hears_what_is_quarantined():
+    fleet = Fleet(make_deployment(shards=2), 3)
+    await fleet.start()
+    book = fleet.vms[0].node.quarantine
+    for _ in range(2):
+        book.note_death("f", book.judge("f", Canary.SUSPECT))
+    fleet.kill_vm(fleet.vms[2])
+    fleet.start_vm(fleet.vms[2])
+    await asyncio.sleep(3)
+    check.assertTrue(fleet.vms[2].node.quarantine.judge("f", Canary.SUSPECT).refused)
+
+
 load_tests = cases(globals())
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -194,14 +194,20 @@
     return Node(settings, services)
 
 
-@real
-async def test_garbage_from_peers_is_counted_and_the_node_keeps_serving():
+async def serve_node(vm: str) -> tuple[Node, FrontServer, str, str]:
+    """A node alone that serves callers; its parts to close and its two addresses."""
     peer, http = free_address(), free_address()
-    node = make_node("vm-1", peer, http)
+    node = make_node(vm, peer, http)
     front = FrontServer(node.desk, node.metrics, node.status)
     front.open(http)
     await node.start()
     await asyncio.sleep(0.2)
+    return node, front, peer, http
+
+
+@real
+async def test_garbage_from_peers_is_counted_and_the_node_keeps_serving():
+    node, front, peer, http = await serve_node("vm-1")
     host, port = peer.split(":")
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
         datagrams.sendto(b"\xff" * 50, (host, int(port)))
@@ -221,12 +227,7 @@
 
 @real
 async def test_bad_requests_get_typed_refusals():
-    peer, http = free_address(), free_address()
-    node = make_node("vm-1", peer, http)
-    front = FrontServer(node.desk, node.metrics, node.status)
-    front.open(http)
-    await node.start()
-    await asyncio.sleep(0.2)
+    node, front, peer, http = await serve_node("vm-1")
     client = CurlAsyncHTTPClient(force_instance=True)
 
     async def ask(path, body=b"x", **headers):
