Wake a query when its canary answered, whatever coverage its class wants

Cause: found while reading the change again. A class that wants a part of the shards only was woken by a canary's answer in no case, as two conditions stood in one chain: the query slept until its deadline and answered one shard. Change: settling, completion and the canary each wake the query; a dead condition where a query gives up its attempts is gone.

--- a/bergamotgate/gather/query.py
+++ b/bergamotgate/gather/query.py
@@ -228,13 +228,11 @@
         self._tools.metrics.pool_latency.labels(self._pool.name).observe(latency_s)
         self._cancel(shard)
         coverage = self._urgency.coverage
-        if self._answered == len(self._shards):
-            self._progress.set()
-        elif coverage.wanted < 1 and self._settle_at == float("inf"):
-            if self._answered >= coverage.wanted * len(self._shards):
-                self._settle_at = self._now() + coverage.settle_ms / 1000
-                self._progress.set()
-        elif len(self._shards) == 1 or self._suspicion.needs_canary:
+        total = len(self._shards)
+        settles = self._settle_at == float("inf") and self._answered >= coverage.wanted * total
+        if settles:
+            self._settle_at = self._now() + coverage.settle_ms / 1000
+        if settles or self._answered == total or self._suspicion.needs_canary:
             self._progress.set()
 
     def _take_failure(self, shard: int, attempt: Attempt, reply: SubReply) -> None:
@@ -362,12 +360,12 @@
     def _abandon(self) -> None:
         """Give up everything that is still on its way."""
         for shard, state in enumerate(self._shards):
-            if state.attempts:
-                if state.reason == Reason.NONE or state.body is None:
-                    state.reason = Reason.TIMED_OUT
-                    state.ran = True
-                if self._urgency.repeatable:
-                    self._cancel(shard)
+            if not state.attempts:
+                continue
+            state.reason = Reason.TIMED_OUT
+            state.ran = True
+            if self._urgency.repeatable:
+                self._cancel(shard)
 
     def _note_congestion(self, reply: SubReply) -> None:
         deadline_s = self._urgency.deadline_ms / 1000
