Parse a pair of tables once, and keep its canonical text with it

Cause: found while reading the change again. A store parsed both texts a second time to get the canonical text that the reader had just made and thrown away, while the process answers nothing. Change: the accepted tables carry their canonical text; the store's record of the two is gone, and a wrapper that only called another function. Behaviour is unchanged.

--- a/bergamotgate/config/reader.py
+++ b/bergamotgate/config/reader.py
@@ -59,8 +59,8 @@
     route_by_name = _read_routes(Fields(routes_value, "", problems), pool_by_name)
     if problems.found:
         raise TablesRejected("tables", tuple(problems.found))
-    digest = digest_of(canonical(routes_value, pools_value))
-    return Tables(revision, digest, route_by_name, pool_by_name, zone_standing)
+    text = canonical(routes_value, pools_value)
+    return Tables(revision, digest_of(text), text, route_by_name, pool_by_name, zone_standing)
 
 
 def _read_zones(zones: Fields) -> dict[str, Standing]:
--- a/bergamotgate/config/spread.py
+++ b/bergamotgate/config/spread.py
@@ -3,12 +3,10 @@
 import json
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
 
-import jsonc
 from loguru import logger
 
-from bergamotgate.config.delta import Change, apply_changes, canonical, changes_between, digest_of
+from bergamotgate.config.delta import Change, apply_changes, changes_between, digest_of
 from bergamotgate.config.reader import read_tables
 from bergamotgate.config.tables import Tables
 from bergamotgate.errors import TablesRejected
@@ -20,14 +18,6 @@
 REMEMBERED_REVISIONS = 4
 
 
-@dataclass(frozen=True)
-class _Accepted:
-    """A revision that was accepted."""
-
-    tables: Tables
-    canonical: str
-
-
 class TableStore:
     """Holds the accepted revision with the highest number; never goes back.
 
@@ -38,15 +28,16 @@
     def __init__(self, metrics: Metrics):
         self._metrics = metrics
         self._listeners: list[Callable[[Tables], None]] = []
-        self._accepted_by_revision: OrderedDict[int, _Accepted] = OrderedDict()
+        self._accepted_by_revision: OrderedDict[int, Tables] = OrderedDict()
         self._rejected_revision = -1
         self.rejected: TablesRejected | None = None
 
     @property
     def tables(self) -> Tables | None:
         """The tables in force."""
-        accepted = self._newest()
-        return accepted.tables if accepted is not None else None
+        if not self._accepted_by_revision:
+            return None
+        return self._accepted_by_revision[next(reversed(self._accepted_by_revision))]
 
     @property
     def revision(self) -> int:
@@ -75,8 +66,7 @@
         except TablesRejected as error:
             self._reject(revision, error)
             return False
-        text = self._canonical(routes, pools)
-        self._accepted_by_revision[revision] = _Accepted(tables, text)
+        self._accepted_by_revision[revision] = tables
         while len(self._accepted_by_revision) > REMEMBERED_REVISIONS:
             self._accepted_by_revision.popitem(last=False)
         logger.info("config: Revision {} is in force.", revision)
@@ -92,12 +82,12 @@
 
     def reply(self, ask: TablesAsk) -> TablesReply | None:
         """The answer to a peer: changes if the base is known here, else the whole text."""
-        newest = self._newest()
+        newest = self.tables
         if newest is None:
             return None
-        reply = TablesReply(ask.call, newest.tables.revision, newest.tables.digest)
+        reply = TablesReply(ask.call, newest.revision, newest.digest)
         base = self._accepted_by_revision.get(ask.have_revision)
-        if base is not None and base.tables.digest == ask.have_digest:
+        if base is not None and base.digest == ask.have_digest:
             changes = changes_between(base.canonical, newest.canonical)
             reply.changes = [EntryChange(change.path, change.value) for change in changes]
         else:
@@ -116,7 +106,7 @@
     def _text_of(self, reply: TablesReply) -> str | None:
         if reply.whole is not None:
             return reply.whole.decode(errors="replace")
-        newest = self._newest()
+        newest = self.tables
         if newest is None:
             return None
         changes = (Change(change.path, change.value) for change in reply.changes or ())
@@ -125,14 +115,6 @@
         except (ValueError, AttributeError):
             return None
 
-    def _newest(self) -> _Accepted | None:
-        if not self._accepted_by_revision:
-            return None
-        return self._accepted_by_revision[next(reversed(self._accepted_by_revision))]
-
-    def _canonical(self, routes: str, pools: str) -> str:
-        return canonical(jsonc.loads(routes), jsonc.loads(pools))
-
     def _reject(self, revision: int, error: TablesRejected) -> None:
         self._rejected_revision = revision
         self.rejected = error
--- a/bergamotgate/config/tables.py
+++ b/bergamotgate/config/tables.py
@@ -161,6 +161,7 @@
     Attributes:
         revision: Revision that the platform gave it.
         digest: Hash of the canonical text.
+        canonical: Both tables as one JSON text without comments, with sorted names.
         route_by_name: All routes.
         pool_by_name: All pools.
         zone_standing: Standing of the availability zones that the table names.
@@ -168,6 +169,7 @@
 
     revision: int
     digest: str
+    canonical: str
     route_by_name: dict[str, Route]
     pool_by_name: dict[str, Pool]
     zone_standing: dict[str, Standing]
--- a/bergamotgate/node/node.py
+++ b/bergamotgate/node/node.py
@@ -243,7 +243,7 @@
             self.is_watcher,
             lambda: len(self.members.all()),
             lambda value: self.tables.offer(value.revision, value.routes, value.pools),
-            self._confirm_without_peers,
+            self.confirmation.confirm,
             self._services.clock,
             self._services.rng,
             self.metrics,
@@ -263,9 +263,6 @@
             self.metrics,
         )
 
-    def _confirm_without_peers(self, asked_at: float) -> None:
-        self.confirmation.confirm(asked_at)
-
     async def _join(self) -> None:
         """Hear what the peers have before the service is believed."""
         await self._list_follower.read_once()
