Follow a pool's slots and warm_after when the tables change

An owner that already spoke to a server kept the slots and warm_after of the tables at that time, so raising slots changed nothing until the owner changed. Change: OwnedServer.use takes both from new tables; what sheds taught stays, within the slots. Figures: limit after raising 2 slots to 6: 2 before, 6 after (test). Conclusion: both tables now act on running owners.

--- a/bergamotgate/admission/owner.py
+++ b/bergamotgate/admission/owner.py
@@ -90,8 +90,7 @@
             elif not tables.takes_work(server):
                 owned.release(Reason.SERVER_OUT)
             else:
-                owned.pool = pool
-                owned.server = server
+                owned.use(pool, server)
 
     def start(self) -> None:
         """Start to notice sleeps of this process."""
--- a/bergamotgate/admission/pressure.py
+++ b/bergamotgate/admission/pressure.py
@@ -18,6 +18,12 @@
         self._limit = float(slots)
         self._rest_until = float("-inf")
 
+    def resize(self, slots: int) -> None:
+        """Take a new number of slots; what sheds taught stays, within them."""
+        untaught = self._limit == float(self._slots)
+        self._limit = float(slots) if untaught else min(self._limit, float(slots))
+        self._slots = slots
+
     def limit(self) -> int:
         """Requests that may be in progress now; 0 for a short while after a shed one."""
         return 0 if self.rest_left_s() > 0 else int(self._limit)
--- a/bergamotgate/admission/server.py
+++ b/bergamotgate/admission/server.py
@@ -78,6 +78,13 @@
         self._recheck: asyncio.Task | None = None
         self._rest_until = float("-inf")
 
+    def use(self, pool: Pool, server: Server) -> None:
+        """Take what new tables say of the same server."""
+        self.pool = pool
+        self.server = server
+        self.pressure.resize(pool.slots)
+        self.warmth.warm_after = pool.warm_after
+
     def submit(self, job: Job) -> None:
         """Take in a job; its result comes by its callback."""
         if job.only_if_free and not self._has_free_slot():
--- a/bergamotgate/admission/warmth.py
+++ b/bergamotgate/admission/warmth.py
@@ -19,11 +19,12 @@
     """Cold-start state of one backend server as its owner knows it.
 
     Attributes:
+        warm_after: Answers in a row after which the server counts as warm.
         incarnation: Mark that the server changes at each restart; empty while unknown.
     """
 
     def __init__(self, warm_after: int):
-        self._warm_after = warm_after
+        self.warm_after = warm_after
         self._answers_in_row = 0
         self._slow_in_row = 0
         self._usual_s: float | None = None
@@ -32,7 +33,7 @@
     @property
     def is_warm(self) -> bool:
         """Whether the server bears its full slots."""
-        return self._answers_in_row >= self._warm_after
+        return self._answers_in_row >= self.warm_after
 
     @property
     def in_doubt(self) -> bool:
@@ -59,7 +60,7 @@
     def trust(self, incarnation: str) -> None:
         """Take the server as warm at an incarnation, by the word of its previous owner."""
         self.incarnation = incarnation
-        self._answers_in_row = self._warm_after
+        self._answers_in_row = self.warm_after
 
     def note_answer(self, incarnation: str, says_cold: bool, service_s: float) -> None:
         """Learn from one answer."""
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -129,6 +129,19 @@
     check.assertEqual(8, pressure.limit())
 
 
+@virtual
+async def test_pressure_follows_the_slots_of_new_tables():
+    pressure = Pressure(2, LoopClock())
+    pressure.resize(6)
+    check.assertEqual(6, pressure.limit())
+    pressure.note_shed()
+    await asyncio.sleep(0.1)
+    pressure.resize(8)
+    check.assertEqual(3, pressure.limit())
+    pressure.resize(2)
+    check.assertEqual(2, pressure.limit())
+
+
 def test_halves_never_add_up_to_more_than_the_limit():
     for limit in range(30):
         check.assertEqual(limit, larger_half(limit) + smaller_half(limit))
