--- /dev/null
+++ b/bergamotgate/discovery/registry.py
@@ -0,0 +1,133 @@
+"""Which discovered servers exist now, by pool.
+
+A registration that vanishes means that the server has gone, with one exception: while the store is
+away, registrations lapse though their servers live. What vanishes shortly after the store's return
+is therefore kept for a grace period, in which a living server registers again.
+"""
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from bergamotgate.clock import Clock
+from bergamotgate.discovery.servers import DiscoveredServer, ServerStanding
+
+__all__ = ["LAPSE_GRACE_S", "ServerRegistry"]
+
+# The platform promises lapsed registrations back within about two seconds of the store's return.
+LAPSE_GRACE_S = 2.2
+
+OnServer = Callable[[DiscoveredServer], None]
+
+
+class ServerRegistry:
+    """Servers by identifier and by pool, and the zones that are out.
+
+    Attributes:
+        zones_out: Availability zones whose servers get nothing new.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._server_by_id: dict[str, DiscoveredServer] = {}
+        self._servers_by_pool: dict[str, dict[str, DiscoveredServer]] = {}
+        self._lapsed_at_by_id: dict[str, float] = {}
+        self._cold_until_by_id: dict[str, float] = {}
+        self._started: list[OnServer] = []
+        self._ended: list[OnServer] = []
+        self.zones_out: frozenset[str] = frozenset()
+
+    def on_start(self, listener: OnServer) -> None:
+        """Call back with each lifetime that begins."""
+        self._started.append(listener)
+
+    def on_end(self, listener: OnServer) -> None:
+        """Call back with each lifetime that ended."""
+        self._ended.append(listener)
+
+    def get(self, server: str) -> DiscoveredServer | None:
+        """The server of that identifier, or None."""
+        return self._server_by_id.get(server)
+
+    def count(self) -> int:
+        """Number of registered servers."""
+        return len(self._server_by_id)
+
+    def usable(self, pool: str) -> list[DiscoveredServer]:
+        """Servers of a pool that take new work."""
+        return [
+            server
+            for server in self._servers_by_pool.get(pool, {}).values()
+            if server.standing is ServerStanding.READY and server.zone not in self.zones_out
+        ]
+
+    def zones_of(self, pool: str) -> list[str]:
+        """The zone of each server of a pool that takes new work."""
+        return [server.zone for server in self.usable(pool)]
+
+    def cold_left_s(self, server: str) -> float:
+        """Seconds for which a server stays cold by its own word; 0 when it is warm."""
+        return max(0.0, self._cold_until_by_id.get(server, 0.0) - self._clock.now())
+
+    def note_cold(self, server: str, cold_ms: int) -> None:
+        """Take a server's word for how long it stays cold."""
+        if cold_ms > 0:
+            self._cold_until_by_id[server] = self._clock.now() + cold_ms / 1000
+        else:
+            self._cold_until_by_id.pop(server, None)
+
+    def offer(self, server: DiscoveredServer) -> None:
+        """Take in a registration."""
+        known = self._server_by_id.get(server.server)
+        self._lapsed_at_by_id.pop(server.server, None)
+        if known is not None and not known.same_lifetime(server):
+            self._remove(known)
+            known = None
+        self._server_by_id[server.server] = server
+        self._servers_by_pool.setdefault(server.pool, {})[server.server] = server
+        self.note_cold(server.server, server.cold_ms)
+        if known is None:
+            logger.info("discovery: Server {} of {} is there.", server.server, server.pool)
+            for listener in self._started:
+                listener(server)
+        elif known.standing is not server.standing:
+            standing = server.standing.name.lower()
+            logger.info("discovery: Server {} of {} is {}.", server.server, server.pool, standing)
+
+    def withdraw(self, server: str, lapse_possible: bool) -> None:
+        """Take in that a registration has vanished.
+
+        Args:
+            server: Identifier.
+            lapse_possible: Whether the store was away shortly before.
+        """
+        known = self._server_by_id.get(server)
+        if known is None:
+            return
+        if lapse_possible and known.standing is ServerStanding.READY:
+            self._lapsed_at_by_id.setdefault(server, self._clock.now())
+            logger.info("discovery: The registration of {} lapsed; it is kept a while.", server)
+            return
+        self._remove(known)
+
+    def expire(self) -> None:
+        """Remove lapsed servers that did not register again in time."""
+        oldest = self._clock.now() - LAPSE_GRACE_S
+        for server, lapsed_at in list(self._lapsed_at_by_id.items()):
+            if lapsed_at < oldest:
+                self._remove(self._server_by_id[server])
+
+    def keep_only(self, servers: set[str], lapse_possible: bool) -> None:
+        """Withdraw every server that a whole reading of the store does not name."""
+        for server in list(self._server_by_id):
+            if server not in servers and server not in self._lapsed_at_by_id:
+                self.withdraw(server, lapse_possible)
+
+    def _remove(self, server: DiscoveredServer) -> None:
+        self._server_by_id.pop(server.server, None)
+        self._servers_by_pool.get(server.pool, {}).pop(server.server, None)
+        self._lapsed_at_by_id.pop(server.server, None)
+        self._cold_until_by_id.pop(server.server, None)
+        logger.info("discovery: Server {} of {} is gone.", server.server, server.pool)
+        for listener in self._ended:
+            listener(server)
--- /dev/null
+++ b/bergamotgate/gateway/desk.py
@@ -0,0 +1,122 @@
+"""Takes clients' requests, relays them, and writes one line for each decision."""
+
+import random
+from collections.abc import Callable
+
+from loguru import logger
+
+from bergamotgate.clock import Clock, milliseconds
+from bergamotgate.config.catalogue import Catalogue, Route
+from bergamotgate.metrics import Metrics
+from bergamotgate.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
+from bergamotgate.relay.messages import Answer, ClientRequest, Forwarded, Gathered, Refused
+from bergamotgate.relay.scatter import ScatterRun
+from bergamotgate.relay.single import SingleRun
+from bergamotgate.relay.tools import RelayTools
+
+__all__ = ["QueryDesk"]
+
+NOT_READY_RETRY_S = 0.3
+
+
+class QueryDesk:
+    """Relays the requests of this process.
+
+    Attributes:
+        in_progress: Requests without answer yet.
+        draining: Whether the process is about to stop.
+    """
+
+    def __init__(
+        self,
+        catalogue: Callable[[], Catalogue | None],
+        catalogue_age_s: Callable[[], float],
+        tools: RelayTools,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+    ):
+        self._catalogue = catalogue
+        self._catalogue_age_s = catalogue_age_s
+        self._tools = tools
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self.in_progress = 0
+        self.draining = False
+
+    async def handle(self, request: ClientRequest) -> Answer:
+        """Relay one request and return its answer."""
+        catalogue = self._catalogue()
+        if catalogue is None:
+            answer = Refused(NotRun(NotRunReason.NO_CONFIGURATION), NOT_READY_RETRY_S)
+            return self._noted(request, None, None, answer, None)
+        route = catalogue.find_route(request.host, request.path)
+        if route is None:
+            answer = Refused(NotRun(NotRunReason.NO_ROUTE))
+            return self._noted(request, catalogue, None, answer, None)
+        self.in_progress += 1
+        try:
+            return await self._relay(request, catalogue, route)
+        finally:
+            self.in_progress -= 1
+
+    async def _relay(self, request: ClientRequest, catalogue: Catalogue, route: Route) -> Answer:
+        run: ScatterRun | SingleRun
+        if route.shards is not None:
+            run = ScatterRun(request, route, catalogue, self._tools)
+        else:
+            pool = route.choose_pool(self._rng)
+            run = SingleRun(request, route, pool, catalogue, self._tools)
+        try:
+            answer = await run.run()
+        except Exception:
+            logger.exception("gateway: Request {} failed inside.", request.attempt)
+            answer = Refused(Unknown(UnknownReason.INTERNAL))
+        return self._noted(request, catalogue, route, answer, run)
+
+    def _noted(
+        self,
+        request: ClientRequest,
+        catalogue: Catalogue | None,
+        route: Route | None,
+        answer: Answer,
+        run: ScatterRun | SingleRun | None,
+    ) -> Answer:
+        """Count an answer and log how it came about."""
+        took_s = self._clock.now() - request.arrived_at
+        name = route.name if route is not None else "none"
+        outcome = _outcome(answer)
+        self._metrics.requests.labels(name, outcome).inc()
+        self._metrics.latency.labels(name).observe(took_s)
+        if isinstance(answer, Refused):
+            self._metrics.refusals.labels(name, answer.outcome.reason).inc()
+        fields = {
+            "id": request.attempt,
+            "route": name,
+            "version": catalogue.version if catalogue is not None else None,
+            "age_ms": _age_ms(self._catalogue_age_s()),
+            "took_ms": milliseconds(took_s),
+            "outcome": outcome,
+        }
+        if run is not None:
+            fields |= {"hedges": run.hedges, "retries": run.retries}
+        if isinstance(run, ScatterRun):
+            fields["missing"] = run.missing_pools()
+        elif isinstance(run, SingleRun):
+            fields["servers"] = run.servers
+        logger.bind(**fields).info("gateway: Request answered.")
+        return answer
+
+
+def _age_ms(age_s: float) -> int | None:
+    return milliseconds(age_s) if age_s < float("inf") else None
+
+
+def _outcome(answer: Answer) -> str:
+    if isinstance(answer, Forwarded):
+        return f"forwarded_{answer.reply.status}"
+    if isinstance(answer, Gathered):
+        return "whole" if answer.missing == 0 else "partial"
+    kind = "not_run" if isinstance(answer.outcome, NotRun) else "unknown"
+    return f"{kind}_{answer.outcome.reason}"
--- /dev/null
+++ b/bergamotgate/gateway/directory.py
@@ -0,0 +1,70 @@
+"""Which VMs a client should connect to.
+
+Most bytes flow between a VM and the backend servers, so a client is sent to VMs in the zones that
+hold servers: to those of its own zone if it is one of them.
+"""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+
+from bergamotgate.config.catalogue import Catalogue
+from bergamotgate.discovery.registry import ServerRegistry
+from bergamotgate.membership.members import Member, MemberState, MemberTable
+
+__all__ = ["ClientDirectory", "KEEP_S", "MAX_ADDRESSES"]
+
+# Clients keep an answer for so long, some of them three times as long.
+KEEP_S = 2
+MAX_ADDRESSES = 64
+# A zone with less than this share of the fullest zone's servers is not worth a visit.
+LEAST_ZONE_SHARE = 0.5
+
+
+class ClientDirectory:
+    """Chooses addresses by the caller's zone."""
+
+    def __init__(
+        self,
+        members: MemberTable,
+        registry: ServerRegistry,
+        catalogue: Callable[[], Catalogue | None],
+        rng: random.Random,
+    ):
+        self._members = members
+        self._registry = registry
+        self._catalogue = catalogue
+        self._rng = rng
+
+    def addresses(self, zone: str) -> list[str]:
+        """Callers' addresses of VMs, in random order; empty when none is known."""
+        members = [m for m in self._members.all() if m.state is MemberState.ALIVE]
+        chosen = self._in_zone(members, self._choose_zone(members, zone))
+        self._rng.shuffle(chosen)
+        return [member.http for member in chosen[:MAX_ADDRESSES]]
+
+    def _in_zone(self, members: list[Member], zone: str | None) -> list[Member]:
+        nearby = [member for member in members if member.zone == zone]
+        return nearby or members
+
+    def _choose_zone(self, members: list[Member], zone: str) -> str | None:
+        """The caller's zone if it holds servers, else one that does, by its share of them."""
+        servers_by_zone = self._servers_by_zone()
+        present = {member.zone for member in members}
+        weights = {z: n for z, n in servers_by_zone.items() if z in present}
+        if not weights:
+            return zone if zone in present else None
+        fullest = max(weights.values())
+        weights = {z: n for z, n in weights.items() if n >= LEAST_ZONE_SHARE * fullest}
+        if zone in weights:
+            return zone
+        return self._rng.choices(list(weights), list(weights.values()))[0]
+
+    def _servers_by_zone(self) -> Counter[str]:
+        """Usable servers of sharded routes by zone, of all routes where none is sharded."""
+        catalogue = self._catalogue()
+        if catalogue is None:
+            return Counter()
+        sharded = {p for r in catalogue.routes if r.shards is not None for p in r.shards.pools}
+        pools = sharded or set(catalogue.rules_by_pool)
+        return Counter(zone for pool in pools for zone in self._registry.zones_of(pool))
--- /dev/null
+++ b/bergamotgate/gateway/node.py
@@ -0,0 +1,229 @@
+"""One whole gateway process: its parts, their start, their drain and their end."""
+
+import random
+from dataclasses import dataclass
+
+from loguru import logger
+
+from bergamotgate.clock import Clock, TaskGroup
+from bergamotgate.gateway.beliefs import Beliefs, ItemDecoder
+from bergamotgate.gateway.desk import QueryDesk
+from bergamotgate.gateway.directory import ClientDirectory
+from bergamotgate.membership.confirmation import ViewConfirmation
+from bergamotgate.membership.members import Member, MemberState, MemberTable
+from bergamotgate.membership.prober import Prober
+from bergamotgate.metrics import Metrics
+from bergamotgate.ownership.rendezvous import rank
+from bergamotgate.placement.chooser import ServerChooser
+from bergamotgate.placement.cold import ColdAllowance
+from bergamotgate.publication import (
+    ItemSource,
+    ItemTable,
+    PublicationFollower,
+    PublicationSpread,
+)
+from bergamotgate.relay.budgets import ExtraBudgets, ExtraRules
+from bergamotgate.relay.messages import ServerCodec
+from bergamotgate.relay.sender import Sender
+from bergamotgate.relay.servers import ServerBook
+from bergamotgate.relay.tools import RelayTools
+from bergamotgate.wire.links import Links
+from bergamotgate.wire.network import Network
+from bergamotgate.wire.port import PeerPort
+
+__all__ = ["GatewayNode", "GatewayServices", "GatewaySettings"]
+
+EXPIRE_EVERY_S = 0.2
+DRAIN_STEP_S = 0.05
+# After SIGTERM the process goes on so long, while clients learn of other addresses.
+LEAVE_NOTICE_S = 3.0
+
+
+@dataclass(frozen=True)
+class GatewaySettings:
+    """What a gateway process is told at its start.
+
+    Attributes:
+        vm: Name of this VM.
+        zone: Availability zone of this VM.
+        front: ``ip:port`` for clients.
+        ready: ``ip:port`` for the platform's readiness check.
+        directory: ``ip:port`` for clients that ask where to connect.
+        peer: ``ip:port`` for other VMs, TCP and UDP.
+        seeds: Peer addresses to join by.
+        store: ``ip:port`` of the platform's store.
+        grace_s: Seconds from SIGTERM to SIGKILL.
+        extra: What the operators allow beyond first requests.
+    """
+
+    vm: str
+    zone: str
+    front: str
+    ready: str
+    directory: str
+    peer: str
+    seeds: tuple[str, ...]
+    store: str
+    grace_s: float
+    extra: ExtraRules
+
+
+@dataclass(frozen=True)
+class GatewayServices:
+    """Everything outside a gateway that it uses.
+
+    Attributes:
+        source: The platform's store.
+        decoder: Reads published items.
+        codec: Writes to backend servers and reads their replies.
+        network: The way to other VMs.
+        clock: Time.
+        rng: Randomness.
+        boot: Start of the process, in milliseconds since 1970.
+    """
+
+    source: ItemSource
+    decoder: ItemDecoder
+    codec: ServerCodec
+    network: Network
+    clock: Clock
+    rng: random.Random
+    boot: int
+
+
+class GatewayNode:
+    """A process that serves clients.
+
+    Attributes:
+        desk: Takes clients' requests.
+        directory: Says where clients should connect.
+        metrics: Counters.
+    """
+
+    def __init__(self, settings: GatewaySettings, services: GatewayServices):
+        self.settings = settings
+        self._services = services
+        clock = services.clock
+        self.metrics = Metrics()
+        self.members = MemberTable(_own_member(settings, services.boot))
+        self.port = PeerPort(settings.vm, services.boot, self.metrics)
+        self.links = Links(settings.vm, services.boot, services.network, clock, self.metrics)
+        self.prober = Prober(
+            self.members,
+            self.port,
+            services.network,
+            clock,
+            services.rng,
+            ViewConfirmation(clock),
+            self.metrics,
+        )
+        self._make_publication(clock)
+        self._make_relay(clock)
+        self._tasks = TaskGroup("gateway:")
+        self.members.on_change(lambda member: self._budgets.resize())
+
+    async def start(self) -> None:
+        """Open the peers' address, join the fleet and follow the store.
+
+        Raises:
+            AddressInUse: Another process has the address.
+        """
+        await self.port.open(self._services.network, self.settings.peer)
+        await self.spread.open(self._services.network, self.settings.peer)
+        self.prober.use_seeds(self.settings.seeds)
+        self.prober.start()
+        self.prober.join([seed for seed in self.settings.seeds if seed != self.settings.peer])
+        self.follower.start()
+        self._tasks.start(self._expire())
+
+    def is_ready(self) -> bool:
+        """Whether clients should be sent here."""
+        return self.beliefs.catalogue is not None and not self.desk.draining
+
+    async def drain(self) -> bool:
+        """Leave the fleet, finish what runs; return whether all was finished in time."""
+        logger.info("gateway: This VM leaves.")
+        clock = self._services.clock
+        started = clock.now()
+        self.desk.draining = True
+        self.prober.leave()
+        last = started + self.settings.grace_s - 0.7
+        await clock.sleep(min(LEAVE_NOTICE_S, self.settings.grace_s / 2))
+        while self.desk.in_progress and clock.now() < last:
+            await clock.sleep(DRAIN_STEP_S)
+        return not self.desk.in_progress
+
+    async def close(self) -> None:
+        """Stop everything at once."""
+        await self._tasks.close()
+        await self.follower.close()
+        await self.spread.close()
+        await self.prober.close()
+        await self.links.close()
+        self.port.close()
+
+    def _make_publication(self, clock: Clock) -> None:
+        services = self._services
+        self.items = ItemTable(clock, services.decoder.same_content)
+        self.spread = PublicationSpread(
+            self.items, self.port, self.links, self._peers, clock, self.metrics
+        )
+        self.follower = PublicationFollower(
+            self.items,
+            services.source,
+            self._watch_rank,
+            self.spread.tell,
+            clock,
+            services.rng,
+            self.metrics,
+        )
+        self.beliefs = Beliefs(
+            self.items, services.decoder, self.follower.lapse_possible, clock, self.metrics
+        )
+
+    def _make_relay(self, clock: Clock) -> None:
+        services = self._services
+        registry = self.beliefs.registry
+        servers = ServerBook(registry, clock, self.metrics)
+        cold = ColdAllowance(self.settings.vm, self._vm_names, clock)
+        chooser = ServerChooser(
+            self.settings.zone, registry, servers.load_of, cold, self._vm_count, clock, services.rng
+        )
+        self._budgets = ExtraBudgets(self.settings.extra, self._vm_count, clock)
+        sender = Sender(servers, registry, services.codec, clock, self.metrics)
+        tools = RelayTools(sender, chooser, servers, self._budgets, clock, self.metrics)
+        self.desk = QueryDesk(
+            lambda: self.beliefs.catalogue,
+            self.items.age_s,
+            tools,
+            clock,
+            services.rng,
+            self.metrics,
+        )
+        self.directory = ClientDirectory(
+            self.members, registry, lambda: self.beliefs.catalogue, services.rng
+        )
+
+    async def _expire(self) -> None:
+        while True:
+            await self._services.clock.sleep(EXPIRE_EVERY_S)
+            self.beliefs.registry.expire()
+
+    def _peers(self) -> list[str]:
+        return [m.peer for m in self.members.others((MemberState.ALIVE, MemberState.SUSPECT))]
+
+    def _vm_names(self) -> list[str]:
+        return [m.vm for m in self.members.all() if m.reachable]
+
+    def _vm_count(self) -> int:
+        return len(self._vm_names())
+
+    def _watch_rank(self) -> int:
+        """This VM's place among those that may poll the store."""
+        return rank("store", self._vm_names()).index(self.settings.vm)
+
+
+def _own_member(settings: GatewaySettings, boot: int) -> Member:
+    return Member(
+        settings.vm, settings.zone, settings.peer, settings.front, boot, 0, MemberState.ALIVE
+    )
--- a/bergamotgate/membership/prober.py
+++ b/bergamotgate/membership/prober.py
@@ -76,6 +76,7 @@
         self._to_spread: dict[str, MemberRecord] = {}
         self._spread_due = False
         self._vm_list: VmList | None = None
+        self._seeds: tuple[str, ...] = ()
         self._round = 0
         port.subscribe(self._receive)
         members.on_change(self._changed)
@@ -96,6 +97,10 @@
         gone = [m.vm for m in self._members.all() if m.vm not in vm_list.vm_by_name]
         self._members.forget(gone)
 
+    def use_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Greet these addresses for good, where there is no VM list to name candidates."""
+        self._seeds = seeds
+
     def join(self, addresses: list[str]) -> None:
         """Ask peers for all they know."""
         for address in addresses:
@@ -131,6 +136,7 @@
                 self._tasks.start(self._probe(target))
             if self._round % MISSING_PROBE_EVERY == 0:
                 self._greet_missing()
+                self._greet_seed()
 
     def _next_target(self) -> Member | None:
         while self._order:
@@ -160,6 +166,20 @@
             records.append(believed.record())
         self._port.send(chosen.peer, members=records, reply_wanted=True)
 
+    def _greet_seed(self) -> None:
+        """Try one seed, or one member that is believed dead, that may live after all."""
+        known = {m.peer: m for m in self._members.all()}
+        own = self._members.own.peer
+        addresses = {*self._seeds, *known} - {own}
+        silent = [a for a in sorted(addresses) if a not in known or not known[a].reachable]
+        if self._vm_list is not None or not silent:
+            return
+        chosen = self._rng.choice(silent)
+        records = [self._members.own.record()]
+        if chosen in known:
+            records.append(known[chosen].record())
+        self._port.send(chosen, members=records, reply_wanted=True)
+
     async def _probe(self, target: Member) -> None:
         started = self._clock.now()
         question = self._ask(target)
--- a/bergamotgate/metrics.py
+++ b/bergamotgate/metrics.py
@@ -27,6 +27,8 @@
         self.tables_rejected = self._counter("tables_rejected", "Rejected publications.", "table")
         self.identity_conflicts = self._counter("identity_conflicts", "Names used twice.", "vm")
         self.connections = self._counter("connections", "Backend connections.", "pool event")
+        self.wrong_replies = self._counter("wrong_replies", "Replies not believed.", "pool reason")
+        self.unreadable_items = self._counter("unreadable_items", "Published garbage.", "kind")
         self.strikes = self._counter("strikes", "Servers lost to a request.", "pool")
         self.latency = Histogram(
             "bergamotgate_request_seconds",
--- /dev/null
+++ b/bergamotgate/placement/chooser.py
@@ -0,0 +1,95 @@
+"""Chooses the server that is expected to finish first, the own zone's before others."""
+
+import random
+from collections.abc import Callable, Collection
+
+from bergamotgate.clock import Clock
+from bergamotgate.config.catalogue import PoolRules
+from bergamotgate.discovery.registry import ServerRegistry
+from bergamotgate.discovery.servers import DiscoveredServer
+from bergamotgate.placement.cold import ColdAllowance
+from bergamotgate.placement.load import RouteLatency, ServerLoad
+
+__all__ = ["ServerChooser"]
+
+# What a reply from another zone costs beside its round trip, as seconds of waiting.
+OTHER_ZONE_COST_S = 0.012
+# Slowness of a cold server without a stated limit, until it has been observed.
+COLD_SLOWNESS = 1.6
+# Part of a server's connections that the fleet uses; dead ones still count at the server.
+USED_CONNECTIONS = 0.8
+LEAST_IN_FLIGHT = 2
+# A server that should be avoided is still used when nothing else is left.
+AVOIDED_COST_S = 10.0
+
+
+class ServerChooser:
+    """Picks servers for the sub-requests of this VM."""
+
+    def __init__(
+        self,
+        zone: str,
+        registry: ServerRegistry,
+        load_of: Callable[[str], ServerLoad],
+        cold: ColdAllowance,
+        vm_count: Callable[[], int],
+        clock: Clock,
+        rng: random.Random,
+    ):
+        self._zone = zone
+        self._registry = registry
+        self._load_of = load_of
+        self._cold = cold
+        self._vm_count = vm_count
+        self._clock = clock
+        self._rng = rng
+
+    def choose(
+        self, rules: PoolRules, latency: RouteLatency, tried: Collection[str] = ()
+    ) -> DiscoveredServer | None:
+        """The best server of a pool that was not tried yet, or None."""
+        ranked = self._ranked(rules, latency, tried)
+        for server in ranked:
+            if self._cold_allows(server, rules):
+                return server
+        return None
+
+    def has_servers(self, pool: str) -> bool:
+        """Whether any server of a pool takes new work."""
+        return bool(self._registry.usable(pool))
+
+    def _ranked(
+        self, rules: PoolRules, latency: RouteLatency, tried: Collection[str]
+    ) -> list[DiscoveredServer]:
+        most = self._most_in_flight(rules)
+        candidates = [
+            server
+            for server in self._registry.usable(rules.name)
+            if server.server not in tried and len(self._load_of(server.server).in_flight) < most
+        ]
+        if len(candidates) < 2:
+            return candidates
+        # Shuffled first, so that VMs do not agree on the order of equals.
+        self._rng.shuffle(candidates)
+        candidates.sort(key=lambda server: self._cost_s(server, latency))
+        return candidates
+
+    def _cost_s(self, server: DiscoveredServer, latency: RouteLatency) -> float:
+        load = self._load_of(server.server)
+        cost_s = load.expected_s(latency.median_s)
+        if self._registry.cold_left_s(server.server) > 0:
+            cost_s *= COLD_SLOWNESS
+        if server.zone != self._zone:
+            cost_s += OTHER_ZONE_COST_S
+        if load.avoided():
+            cost_s += AVOIDED_COST_S
+        return cost_s
+
+    def _most_in_flight(self, rules: PoolRules) -> int:
+        share = USED_CONNECTIONS * rules.max_connections / max(1, self._vm_count())
+        return max(LEAST_IN_FLIGHT, int(share))
+
+    def _cold_allows(self, server: DiscoveredServer, rules: PoolRules) -> bool:
+        if rules.cold_per_s <= 0 or self._registry.cold_left_s(server.server) <= 0:
+            return True
+        return self._cold.take(server.server, rules.cold_per_s)
--- /dev/null
+++ b/bergamotgate/platform/daemon.py
@@ -0,0 +1,95 @@
+"""bergamotgate-gateway: the daemon for the platform, with the settings file that it lays."""
+
+import asyncio
+import os
+import random
+import signal
+import sys
+from pathlib import Path
+
+import click
+from loguru import logger
+
+from bergamotgate.clock import LoopClock, wall_milliseconds
+from bergamotgate.errors import AddressInUse, SettingsError
+from bergamotgate.gateway.node import GatewayNode, GatewayServices, GatewaySettings
+from bergamotgate.logs import set_up_decision_logs
+from bergamotgate.platform.ingress import Ingress
+from bergamotgate.platform.itemdecoder import PlatformItemDecoder
+from bergamotgate.platform.replicacodec import PlatformCodec
+from bergamotgate.platform.sitesettings import SETTINGS_VARIABLE, load_site_settings
+from bergamotgate.platform.store import PlatformStore
+from bergamotgate.wire.network import SocketNetwork
+
+__all__ = ["main", "run_gateway"]
+
+EXIT_SETTINGS = 2
+EXIT_ADDRESS = 3
+
+
+@click.command()
+@click.option("--metrics-port", type=int, default=None, help="Port for counters.")
+def main(metrics_port: int | None) -> None:
+    """Serve clients with the settings file that the platform names.
+
+    Exit status: 0 after SIGTERM or SIGINT, 2 for mistakes in the settings, 3 for an address that is
+    in use.
+    """
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        settings = load_site_settings(path)
+    except SettingsError as error:
+        for problem in error.problems:
+            click.echo(f"{error.source}: {problem}", err=True)
+        sys.exit(EXIT_SETTINGS)
+    set_up_decision_logs(settings.vm)
+    try:
+        asyncio.run(run_gateway(settings, metrics_port))
+    except AddressInUse as error:
+        click.echo(str(error), err=True)
+        sys.exit(EXIT_ADDRESS)
+
+
+async def run_gateway(settings: GatewaySettings, metrics_port: int | None) -> None:
+    """Run until SIGTERM or SIGINT, then drain.
+
+    Raises:
+        AddressInUse: An address of the settings is taken.
+    """
+    clock = LoopClock()
+    services = GatewayServices(
+        source=PlatformStore(settings.store),
+        decoder=PlatformItemDecoder(),
+        codec=PlatformCodec(),
+        network=SocketNetwork(),
+        clock=clock,
+        rng=random.Random(),
+        boot=wall_milliseconds(),
+    )
+    node = GatewayNode(settings, services)
+    ingress = Ingress(node, clock)
+    stopped = _stop_signal()
+    ingress.open()
+    if metrics_port is not None:
+        host = settings.front.rpartition(":")[0]
+        ingress.open_metrics(f"{host}:{metrics_port}")
+    await node.start()
+    logger.info("gateway: Serving clients at {}.", settings.front)
+    await stopped.wait()
+    finished = await node.drain()
+    logger.info("gateway: Drained {}.", "whole" if finished else "in part")
+    await ingress.close()
+    await node.close()
+
+
+def _stop_signal() -> asyncio.Event:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: logger.info("gateway: SIGHUP came."))
+    return stopped
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bergamotgate/platform/ingress.py
@@ -0,0 +1,211 @@
+"""Serves clients and the platform's checks over HTTP, in the platform's words."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from http.client import responses
+
+from loguru import logger
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.netutil import bind_sockets
+
+from bergamotgate.clock import Clock
+from bergamotgate.errors import AddressInUse
+from bergamotgate.gateway.directory import KEEP_S
+from bergamotgate.gateway.node import GatewayNode
+from bergamotgate.outcomes import NotRun, NotRunReason, UnknownReason
+from bergamotgate.platform import names
+from bergamotgate.relay.messages import Answer, ClientRequest, Forwarded, Gathered, Refused
+from bergamotgate.wire.network import split_address
+
+__all__ = ["Ingress"]
+
+DROPPED_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "transfer-encoding",
+        "content-length",
+        "te",
+        "trailer",
+        "upgrade",
+        "expect",
+        "host",
+        names.ATTEMPT_ID.lower(),
+        names.DEADLINE_MS.lower(),
+        names.TARGET_INSTANCE.lower(),
+    }
+)
+MAX_HEADER_BYTES = 64 * 1024
+MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_DEADLINE_MS = 3_600_000
+# Clients reuse connections up to four fifths of the stated limit; ours is never shorter.
+IDLE_TIMEOUT_S = 60.0
+BODY_TIMEOUT_S = 20.0
+UNKNOWN_STATUS = {UnknownReason.TIMED_OUT: 504}
+
+Serve = Callable[[HTTPServerRequest], Awaitable[None]]
+
+
+class Ingress:
+    """The listening addresses of one gateway."""
+
+    def __init__(self, node: GatewayNode, clock: Clock):
+        self._node = node
+        self._clock = clock
+        self._servers: list[HTTPServer] = []
+        self._tasks: set[asyncio.Task] = set()
+
+    def open(self) -> None:
+        """Start to listen.
+
+        Raises:
+            AddressInUse: Another process has an address.
+        """
+        settings = self._node.settings
+        self._listen(settings.front, self._serve_client)
+        self._listen(settings.ready, self._serve_readiness)
+        self._listen(settings.directory, self._serve_directory)
+
+    def open_metrics(self, address: str) -> None:
+        """Serve counters in the Prometheus text format."""
+        self._listen(address, self._serve_metrics)
+
+    async def close(self) -> None:
+        """Stop to listen and close idle connections."""
+        for server in self._servers:
+            server.stop()
+        for server in self._servers:
+            await server.close_all_connections()
+
+    def _listen(self, address: str, serve: Serve) -> None:
+        server = HTTPServer(
+            lambda request: self._start(serve, request),
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+            idle_connection_timeout=IDLE_TIMEOUT_S,
+            body_timeout=BODY_TIMEOUT_S,
+        )
+        host, port = split_address(address)
+        try:
+            server.add_sockets(bind_sockets(port, host, backlog=1024))
+        except OSError as error:
+            raise AddressInUse(address) from error
+        self._servers.append(server)
+
+    def _start(self, serve: Serve, request: HTTPServerRequest) -> None:
+        task = asyncio.ensure_future(serve(request))
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+        request.connection.set_close_callback(task.cancel)
+
+    def _finished(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.opt(exception=task.exception()).error("ingress: A request failed inside.")
+
+    async def _serve_client(self, request: HTTPServerRequest) -> None:
+        asked = _client_request(request, self._clock.now())
+        if asked is None:
+            _respond(request, 400, HTTPHeaders(), b"", False)
+            return
+        answer = await self._node.desk.handle(asked)
+        status, headers, body = _render(answer)
+        _respond(request, status, headers, body, self._node.desk.draining)
+
+    async def _serve_readiness(self, request: HTTPServerRequest) -> None:
+        _respond(request, 200 if self._node.is_ready() else 503, HTTPHeaders(), b"", False)
+
+    async def _serve_directory(self, request: HTTPServerRequest) -> None:
+        zone = request.arguments.get("zone", [b""])[0].decode(errors="replace")
+        addresses = self._node.directory.addresses(zone)
+        body = json.dumps({"addrs": addresses, "ttl_s": KEEP_S}).encode()
+        headers = HTTPHeaders({"Content-Type": "application/json"})
+        _respond(request, 200 if addresses else 503, headers, body, False)
+
+    async def _serve_metrics(self, request: HTTPServerRequest) -> None:
+        headers = HTTPHeaders({"Content-Type": "text/plain; version=0.0.4"})
+        _respond(request, 200, headers, self._node.metrics.text(), False)
+
+
+def _client_request(request: HTTPServerRequest, now: float) -> ClientRequest | None:
+    """Decode a request; None when it lacks its identifier."""
+    attempt = request.headers.get(names.ATTEMPT_ID)
+    if not attempt:
+        return None
+    forwarded = tuple(
+        (name, value)
+        for name, value in request.headers.get_all()
+        if name.lower() not in DROPPED_HEADERS
+    )
+    return ClientRequest(
+        attempt=attempt,
+        method=request.method,
+        host=request.host.rsplit(":", 1)[0] if ":" in request.host else request.host,
+        target=request.uri,
+        path=request.path,
+        headers=forwarded,
+        body=request.body,
+        patience_s=_patience_s(request.headers.get(names.DEADLINE_MS)),
+        arrived_at=now,
+    )
+
+
+def _patience_s(text: str | None) -> float | None:
+    """Seconds that a client waits; None when it is missing or absurd."""
+    if text is None or not text.strip().isdigit():
+        return None
+    milliseconds = int(text)
+    return milliseconds / 1000 if 0 < milliseconds <= MAX_DEADLINE_MS else None
+
+
+def _render(answer: Answer) -> tuple[int, HTTPHeaders, bytes]:
+    headers = HTTPHeaders()
+    if isinstance(answer, Forwarded):
+        for name, value in answer.reply.headers:
+            headers.add(name, value)
+        return answer.reply.status, headers, answer.reply.body
+    if isinstance(answer, Gathered):
+        headers.add(names.PART_STAMPS, ", ".join(answer.digests))
+        headers.add(names.MISSING_PARTS, str(answer.missing))
+        return 200, headers, answer.body
+    return _render_refusal(answer, headers)
+
+
+def _render_refusal(answer: Refused, headers: HTTPHeaders) -> tuple[int, HTTPHeaders, bytes]:
+    reason = answer.outcome.reason
+    headers.add("Content-Type", "application/json")
+    body = json.dumps({"error": str(reason)}).encode()
+    if answer.retry_after_s is not None:
+        headers.add("Retry-After", f"{answer.retry_after_s:g}")
+    if reason is NotRunReason.NO_ROUTE:
+        return 404, headers, body
+    if isinstance(answer.outcome, NotRun):
+        return 503, headers, body
+    return UNKNOWN_STATUS.get(reason, 502), headers, body
+
+
+def _respond(
+    request: HTTPServerRequest, status: int, headers: HTTPHeaders, body: bytes, last: bool
+) -> None:
+    """Write an answer; close the connection after it if it is the last one."""
+    connection = request.connection
+    connection.set_close_callback(None)
+    headers["Content-Length"] = str(len(body))
+    if last:
+        headers["Connection"] = "close"
+    start = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
+    chunk = b"" if request.method == "HEAD" else body
+    written = connection.write_headers(start, headers, chunk)
+    connection.finish()
+    written.add_done_callback(lambda done: _written(done, request if last else None))
+
+
+def _written(done: asyncio.Future, to_close: HTTPServerRequest | None) -> None:
+    """Take the result of a write; a client that has left needs no answer."""
+    if not done.cancelled():
+        done.exception()
+    if to_close is not None and to_close.connection.stream is not None:
+        to_close.connection.stream.close()
--- /dev/null
+++ b/bergamotgate/platform/names.py
@@ -0,0 +1,26 @@
+"""Header names of the platform, each with what it holds."""
+
+__all__ = [
+    "ATTEMPT_ID",
+    "DEADLINE_MS",
+    "MISSING_PARTS",
+    "NOT_EXECUTED",
+    "PART_STAMPS",
+    "SERVER_STAMP",
+    "TARGET_INSTANCE",
+]
+
+# The client's identifier of one attempt, echoed by servers.
+ATTEMPT_ID = "X-Attempt-Id"
+# Milliseconds that the client, or a server, may still take; a span, not a time of day.
+DEADLINE_MS = "X-Deadline-Ms"
+# A server's signature of its reply.
+SERVER_STAMP = "X-Server-Stamp"
+# Identifier of the server that must answer.
+TARGET_INSTANCE = "X-Target-Instance"
+# A server's word that it did not run the request.
+NOT_EXECUTED = "X-Not-Executed"
+# Signatures of the parts of an answer.
+PART_STAMPS = "X-Part-Stamps"
+# Number of shards that an answer lacks.
+MISSING_PARTS = "X-Missing-Parts"
--- /dev/null
+++ b/bergamotgate/platform/store.py
@@ -0,0 +1,121 @@
+"""Reads the platform's store over HTTP."""
+
+import base64
+import binascii
+import json
+from typing import Any
+
+import pycurl
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPResponse
+from tornado.httputil import url_concat
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from bergamotgate.errors import PlatformUnavailable
+from bergamotgate.publication.items import PublishedItem
+from bergamotgate.publication.source import HistoryLost, ItemChanges
+
+__all__ = ["PlatformStore"]
+
+SERVICE = "store"
+CONNECT_TIMEOUT_S = 0.5
+READ_TIMEOUT_S = 1.5
+# A waiting call answers at the latest after its wait; more is silence.
+WAIT_MARGIN_S = 0.6
+MAX_PAGES = 200
+GONE = 410
+
+
+class PlatformStore:
+    """Item source that speaks the platform's key-value protocol."""
+
+    def __init__(self, address: str):
+        self._base = f"http://{address}/api"
+        self._client: AsyncHTTPClient | None = None
+
+    async def read_all(self) -> ItemChanges:
+        """Read every item, page by page; the reading may be some seconds old.
+
+        Raises:
+            PlatformUnavailable: No usable answer.
+        """
+        items: list[PublishedItem] = []
+        after = ""
+        as_of: int | None = None
+        for _ in range(MAX_PAGES):
+            query = {"prefix": "", "staleOk": "1"}
+            if after:
+                query["after"] = after
+            page = await self._get("kv-range", query, READ_TIMEOUT_S)
+            found = _items(page, "items")
+            items.extend(found)
+            # Pages are no snapshot: changes since the first one are read again.
+            as_of = _revision(page) if as_of is None else as_of
+            if not page.get("truncated") or not found:
+                return ItemChanges(as_of, tuple(items))
+            after = found[-1].key
+        raise PlatformUnavailable(SERVICE, f"more than {MAX_PAGES} pages")
+
+    async def changes(self, after: int, wait_s: float) -> ItemChanges:
+        """Wait for changes after a revision.
+
+        Raises:
+            PlatformUnavailable: No usable answer.
+            HistoryLost: The changes are no longer available.
+        """
+        query = {"prefix": "", "after": str(after), "waitMs": str(int(wait_s * 1000))}
+        try:
+            answer = await self._get("kv-watch", query, wait_s + WAIT_MARGIN_S)
+        except PlatformUnavailable as error:
+            if isinstance(error.cause, HTTPClientError) and error.cause.code == GONE:
+                raise HistoryLost(after) from error
+            raise
+        return ItemChanges(_revision(answer), tuple(_items(answer, "events")))
+
+    async def _get(self, call: str, query: dict[str, str], timeout_s: float) -> dict[str, Any]:
+        if self._client is None:
+            self._client = SimpleAsyncHTTPClient(force_instance=True)
+        url = url_concat(f"{self._base}/{call}", query)
+        try:
+            answer = await self._client.fetch(
+                url,
+                connect_timeout=CONNECT_TIMEOUT_S,
+                request_timeout=timeout_s,
+                decompress_response=False,
+            )
+        except (HTTPClientError, OSError, pycurl.error) as error:
+            raise PlatformUnavailable(SERVICE, error) from error
+        return _object(answer)
+
+
+def _object(answer: HTTPResponse) -> dict[str, Any]:
+    try:
+        value = json.loads(answer.body)
+    except ValueError as error:
+        raise PlatformUnavailable(SERVICE, error) from error
+    if not isinstance(value, dict):
+        raise PlatformUnavailable(SERVICE, "the answer is no object")
+    return value
+
+
+def _revision(answer: dict[str, Any]) -> int:
+    revision = answer.get("asOf")
+    if not isinstance(revision, int) or isinstance(revision, bool):
+        raise PlatformUnavailable(SERVICE, "the answer states no revision")
+    return revision
+
+
+def _items(answer: dict[str, Any], name: str) -> list[PublishedItem]:
+    entries = answer.get(name)
+    if not isinstance(entries, list):
+        raise PlatformUnavailable(SERVICE, f"the answer has no {name}")
+    try:
+        return [_item(entry) for entry in entries]
+    except (KeyError, TypeError, AttributeError, ValueError, binascii.Error) as error:
+        raise PlatformUnavailable(SERVICE, f"an item is unreadable: {error!r}") from error
+
+
+def _item(entry: dict[str, Any]) -> PublishedItem:
+    if entry.get("deleted"):
+        return PublishedItem(str(entry["key"]), int(entry["revision"]), None)
+    value = base64.b64decode(entry["value"], validate=True)
+    return PublishedItem(str(entry["key"]), int(entry["revision"]), value)
--- /dev/null
+++ b/bergamotgate/publication/__init__.py
@@ -0,0 +1,22 @@
+"""Items that operators and servers publish in the platform's store, mirrored on every VM."""
+
+from bergamotgate.publication.follower import PublicationFollower
+from bergamotgate.publication.items import ItemTable, PublishedItem
+from bergamotgate.publication.source import (
+    HistoryLost,
+    ItemChanges,
+    ItemSource,
+    MemoryItemSource,
+)
+from bergamotgate.publication.spread import PublicationSpread
+
+__all__ = [
+    "HistoryLost",
+    "ItemChanges",
+    "ItemSource",
+    "ItemTable",
+    "MemoryItemSource",
+    "PublicationFollower",
+    "PublicationSpread",
+    "PublishedItem",
+]
--- /dev/null
+++ b/bergamotgate/publication/items.py
@@ -0,0 +1,136 @@
+"""The mirror of published items that each VM holds, ordered by the store's revision."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from bergamotgate.clock import Clock
+
+__all__ = ["ItemTable", "PublishedItem", "UNREAD"]
+
+UNREAD = -1
+MAX_WITHDRAWN = 2000
+
+
+@dataclass(frozen=True)
+class PublishedItem:
+    """One item of the store.
+
+    Attributes:
+        key: Name of the item.
+        revision: The store's revision at the item's last change.
+        value: The published bytes; None when the item was withdrawn.
+    """
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+OnItems = Callable[[list[PublishedItem]], None]
+SameContent = Callable[[str, bytes, bytes], bool]
+
+
+class ItemTable:
+    """All items as of one revision; withdrawn ones are remembered for peers that lag.
+
+    Attributes:
+        as_of: Revision up to which the table is complete; ``UNREAD`` before the first reading.
+        confirmed_at: Time on the own clock at which the table was known to be current.
+    """
+
+    def __init__(self, clock: Clock, same_content: SameContent):
+        self._clock = clock
+        self._same_content = same_content
+        self._item_by_key: dict[str, PublishedItem] = {}
+        self._complete_after = 0
+        self._listeners: list[OnItems] = []
+        self.as_of = UNREAD
+        self.confirmed_at = float("-inf")
+
+    def on_change(self, listener: OnItems) -> None:
+        """Call back with the items that a merge changed."""
+        self._listeners.append(listener)
+
+    def age_s(self) -> float:
+        """Seconds since the table was known to be current."""
+        return self._clock.now() - self.confirmed_at
+
+    def confirm(self, at: float) -> None:
+        """Note that the table was current at that time."""
+        self.confirmed_at = max(self.confirmed_at, at)
+
+    def merge(
+        self, since: int, as_of: int, items: Iterable[PublishedItem]
+    ) -> list[PublishedItem] | None:
+        """Take in all changes after one revision up to another.
+
+        Returns:
+            The items that changed here; None when changes before ``since`` are missing.
+        """
+        if since > self.as_of:
+            return None
+        changed = [item for item in items if self._store(item)]
+        self.as_of = max(self.as_of, as_of)
+        self._tell(changed)
+        return changed
+
+    def replace_all(self, as_of: int, items: Iterable[PublishedItem]) -> list[PublishedItem]:
+        """Take in a whole reading of the store; what it does not name was withdrawn."""
+        if as_of < self.as_of:
+            return []
+        items = list(items)
+        named = {item.key for item in items}
+        withdrawn = [
+            PublishedItem(item.key, as_of, None)
+            for item in self._item_by_key.values()
+            if item.key not in named and item.value is not None and item.revision <= as_of
+        ]
+        changed = [item for item in [*items, *withdrawn] if self._store(item)]
+        self.as_of = as_of
+        # What came and went between two whole readings is not known.
+        self._complete_after = max(self._complete_after, as_of)
+        self._tell(changed)
+        return changed
+
+    def changes_after(self, revision: int) -> list[PublishedItem] | None:
+        """Every change after a revision; None when withdrawn items were forgotten since."""
+        if revision < self._complete_after:
+            return None
+        return [item for item in self._item_by_key.values() if item.revision > revision]
+
+    def present(self) -> list[PublishedItem]:
+        """Every item that is published now."""
+        return [item for item in self._item_by_key.values() if item.value is not None]
+
+    def _store(self, item: PublishedItem) -> bool:
+        known = self._item_by_key.get(item.key)
+        if known is not None and item.revision <= known.revision:
+            return False
+        if known is None and item.value is None:
+            return False
+        same = (
+            known is not None
+            and known.value is not None
+            and item.value is not None
+            and self._same_content(item.key, known.value, item.value)
+        )
+        if same:
+            return False
+        self._item_by_key[item.key] = item
+        if item.value is None:
+            self._forget_oldest()
+        return True
+
+    def _forget_oldest(self) -> None:
+        withdrawn = [item for item in self._item_by_key.values() if item.value is None]
+        if len(withdrawn) <= MAX_WITHDRAWN:
+            return
+        withdrawn.sort(key=lambda item: item.revision)
+        for item in withdrawn[: MAX_WITHDRAWN // 2]:
+            del self._item_by_key[item.key]
+            self._complete_after = max(self._complete_after, item.revision)
+
+    def _tell(self, changed: list[PublishedItem]) -> None:
+        if changed:
+            for listener in self._listeners:
+                listener(changed)
--- /dev/null
+++ b/bergamotgate/publication/source.py
@@ -0,0 +1,108 @@
+"""Where published items are read: the platform's store, or memory for tests."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Protocol
+
+from bergamotgate.errors import BergamotgateError, PlatformUnavailable
+from bergamotgate.publication.items import PublishedItem
+
+__all__ = ["HistoryLost", "ItemChanges", "ItemSource", "MemoryItemSource"]
+
+
+class HistoryLost(BergamotgateError):
+    """The store no longer has the changes after a revision; it must be read whole.
+
+    Attributes:
+        after: The revision that was asked for.
+    """
+
+    def __init__(self, after: int):
+        super().__init__(f"the changes after revision {after} are no longer available")
+        self.after = after
+
+
+@dataclass(frozen=True)
+class ItemChanges:
+    """What a reading brought.
+
+    Attributes:
+        as_of: Revision up to which it is complete.
+        items: The items that changed, or all of them for a whole reading.
+    """
+
+    as_of: int
+    items: tuple[PublishedItem, ...]
+
+
+class ItemSource(Protocol):
+    """Reads the store; each call counts at the platform."""
+
+    async def read_all(self) -> ItemChanges:
+        """Read every item; the reading may be some seconds old.
+
+        Raises:
+            PlatformUnavailable: No usable answer.
+        """
+
+    async def changes(self, after: int, wait_s: float) -> ItemChanges:
+        """Wait for changes after a revision; no items when none came in time.
+
+        Raises:
+            PlatformUnavailable: No usable answer.
+            HistoryLost: The changes are no longer available.
+        """
+
+
+class MemoryItemSource:
+    """A store in memory.
+
+    Attributes:
+        down: Whether calls fail.
+        calls: Number of calls so far.
+    """
+
+    def __init__(self) -> None:
+        self._log: list[PublishedItem] = []
+        self._oldest = 0
+        self._changed = asyncio.Event()
+        self.revision = 1
+        self.down = False
+        self.calls = 0
+
+    def publish(self, key: str, value: bytes | None) -> int:
+        """Write or withdraw an item; return its revision."""
+        self.revision += 1
+        self._log.append(PublishedItem(key, self.revision, value))
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return self.revision
+
+    def forget_history(self) -> None:
+        """Make changes up to now unavailable."""
+        self._oldest = self.revision
+
+    async def read_all(self) -> ItemChanges:
+        """Read every item."""
+        self._count()
+        item_by_key = {item.key: item for item in self._log}
+        present = tuple(item for item in item_by_key.values() if item.value is not None)
+        return ItemChanges(self.revision, present)
+
+    async def changes(self, after: int, wait_s: float) -> ItemChanges:
+        """Wait for changes after a revision."""
+        self._count()
+        if after < self._oldest:
+            raise HistoryLost(after)
+        if after >= self.revision:
+            try:
+                await asyncio.wait_for(self._changed.wait(), wait_s)
+            except TimeoutError:
+                return ItemChanges(self.revision, ())
+        found = tuple(item for item in self._log if item.revision > after)
+        return ItemChanges(self.revision, found)
+
+    def _count(self) -> None:
+        self.calls += 1
+        if self.down:
+            raise PlatformUnavailable("store", "it is down")
--- /dev/null
+++ b/bergamotgate/relay/__init__.py
@@ -0,0 +1,25 @@
+"""Relays clients' requests to discovered backend servers and puts answers together."""
+
+from bergamotgate.relay.messages import (
+    Answer,
+    ClientRequest,
+    Forwarded,
+    Gathered,
+    Refused,
+    SendFailure,
+    ServerCodec,
+    ServerReply,
+    WrongReplyReason,
+)
+
+__all__ = [
+    "Answer",
+    "ClientRequest",
+    "Forwarded",
+    "Gathered",
+    "Refused",
+    "SendFailure",
+    "ServerCodec",
+    "ServerReply",
+    "WrongReplyReason",
+]
--- /dev/null
+++ b/bergamotgate/relay/budgets.py
@@ -0,0 +1,50 @@
+"""The extra budgets of all pools."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bergamotgate.clock import Clock
+from bergamotgate.placement.extra import PoolExtraBudget
+
+__all__ = ["ExtraBudgets", "ExtraRules"]
+
+
+@dataclass(frozen=True)
+class ExtraRules:
+    """What the operators allow beyond the first requests at each pool, for the whole fleet.
+
+    Attributes:
+        share: Extra requests for each first request.
+        allowance: Extra requests beside that, in one window.
+        window_s: Length of the window in seconds.
+    """
+
+    share: float
+    allowance: float
+    window_s: float
+
+
+class ExtraBudgets:
+    """One budget for each pool, made when it is first used."""
+
+    def __init__(self, rules: ExtraRules, vm_count: Callable[[], int], clock: Clock):
+        self._rules = rules
+        self._vm_count = vm_count
+        self._clock = clock
+        self._budget_by_pool: dict[str, PoolExtraBudget] = {}
+
+    def of(self, pool: str) -> PoolExtraBudget:
+        """The budget of a pool."""
+        budget = self._budget_by_pool.get(pool)
+        if budget is None:
+            rules = self._rules
+            budget = PoolExtraBudget(
+                self._clock, rules.share, rules.allowance, rules.window_s, self._vm_count()
+            )
+            self._budget_by_pool[pool] = budget
+        return budget
+
+    def resize(self) -> None:
+        """Take in that the number of VMs changed."""
+        for budget in self._budget_by_pool.values():
+            budget.resize(self._vm_count())
--- /dev/null
+++ b/bergamotgate/relay/messages.py
@@ -0,0 +1,149 @@
+"""What goes between clients, this process and backend servers, in the project's own terms."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Protocol
+
+from bergamotgate.backend.http1 import RawReply
+from bergamotgate.discovery.servers import DiscoveredServer
+from bergamotgate.outcomes import NotRun, Unknown
+
+__all__ = [
+    "Answer",
+    "ClientRequest",
+    "Forwarded",
+    "Gathered",
+    "Refused",
+    "SendFailure",
+    "SendResult",
+    "ServerCodec",
+    "ServerReply",
+    "WrongReplyReason",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class ClientRequest:
+    """One attempt of a client.
+
+    Attributes:
+        attempt: The client's identifier of this attempt.
+        method: HTTP method.
+        host: Host name without port.
+        target: Path and query as the client wrote them.
+        path: Path without query.
+        headers: End-to-end headers to forward.
+        body: Whole body.
+        patience_s: Seconds that the client waits; None when it did not say.
+        arrived_at: Time on the own clock at which the request was read.
+    """
+
+    attempt: str
+    method: str
+    host: str
+    target: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    patience_s: float | None
+    arrived_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServerReply:
+    """A backend server's whole reply to the request that was sent.
+
+    Attributes:
+        status: Status code.
+        headers: End-to-end headers.
+        body: Whole body.
+        digest: The server's signature of the reply; None without one.
+        not_run: The server's own word that it did not run the request.
+        misdirected: Whether another server has this address now.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    digest: str | None
+    not_run: bool
+    misdirected: bool
+
+    @property
+    def success(self) -> bool:
+        """Whether the server ran the request well and signed the reply."""
+        return 200 <= self.status < 300 and self.digest is not None
+
+
+class WrongReplyReason(StrEnum):
+    """Why a reply is not the server's reply to the request that was sent."""
+
+    OTHER_ATTEMPT = "other_attempt"
+    ENCODED = "encoded"
+    UNSIGNED = "unsigned"
+
+
+class SendFailure(StrEnum):
+    """How a sub-request ended without a usable reply."""
+
+    NOT_SENT = "not_sent"
+    DIED = "died"
+    GARBLED = "garbled"
+    TIMED_OUT = "timed_out"
+    WRONG_REPLY = "wrong_reply"
+
+    @property
+    def surely_not_run(self) -> bool:
+        """Whether nothing reached the server."""
+        return self is SendFailure.NOT_SENT
+
+
+SendResult = ServerReply | SendFailure
+
+
+@dataclass(frozen=True, slots=True)
+class Forwarded:
+    """A server's reply, to be handed on unchanged."""
+
+    reply: ServerReply
+
+
+@dataclass(frozen=True, slots=True)
+class Gathered:
+    """The answer of many shards.
+
+    Attributes:
+        body: The greatest records, greatest first.
+        digests: Signatures of the parts that are in.
+        missing: Number of shards that are not in.
+    """
+
+    body: bytes
+    digests: tuple[str, ...]
+    missing: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """No answer.
+
+    Attributes:
+        outcome: Why, and what that proves.
+        retry_after_s: When the client should come back; None without advice.
+    """
+
+    outcome: NotRun | Unknown
+    retry_after_s: float | None = None
+
+
+Answer = Forwarded | Gathered | Refused
+
+
+class ServerCodec(Protocol):
+    """Writes sub-requests to backend servers and reads their replies."""
+
+    def encode(self, request: ClientRequest, server: DiscoveredServer, budget_ms: int) -> bytes:
+        """The whole request for one server, with the time that it may take."""
+
+    def decode(self, request: ClientRequest, raw: RawReply) -> ServerReply | WrongReplyReason:
+        """The reply, or why it does not belong to the request."""
--- /dev/null
+++ b/bergamotgate/relay/scatter.py
@@ -0,0 +1,223 @@
+"""One query over many shards: first sub-requests, hedges, retries, and when to answer.
+
+A straggler is asked again at another server once it is later than most replies. Near the
+objective an answer with a true number of missing shards goes out, if the route allows so few.
+"""
+
+from dataclasses import dataclass, field
+
+from bergamotgate.config.catalogue import Catalogue, Route
+from bergamotgate.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
+from bergamotgate.relay.messages import (
+    Answer,
+    ClientRequest,
+    Gathered,
+    Refused,
+    SendFailure,
+    SendResult,
+    ServerReply,
+)
+from bergamotgate.relay.records import greatest_records
+from bergamotgate.relay.sender import Sending
+from bergamotgate.relay.tools import RelayTools, Wakeup, longest_until, rules_of
+
+__all__ = ["ScatterRun"]
+
+# The answer leaves this long before the objective: merging and the way back to the client.
+OBJECTIVE_MARGIN_S = 0.010
+# The final answer leaves this long before the client gives up.
+DEADLINE_MARGIN_S = 0.030
+# Past the objective a whole answer is awaited for as long again, then a partial one is good.
+LATE_PATIENCE = 2.0
+# Bounds of the time to the first hedge, as parts of the objective.
+EARLIEST_HEDGE = 0.2
+LATEST_HEDGE = 0.55
+SWEEP_S = 0.008
+LATE_SWEEP_S = 0.040
+NO_SERVER_RETRY_S = 1.0
+
+
+@dataclass(slots=True)
+class _Shard:
+    """One shard of the query."""
+
+    pool: str
+    reply: ServerReply | None = None
+    sendings: list[Sending] = field(default_factory=list)
+    tried: list[str] = field(default_factory=list)
+
+
+class ScatterRun:
+    """Runs one query.
+
+    Attributes:
+        hedges: Sub-requests sent beside one that was late.
+        retries: Sub-requests sent after a failure.
+    """
+
+    def __init__(
+        self, request: ClientRequest, route: Route, catalogue: Catalogue, tools: RelayTools
+    ):
+        self._request = request
+        self._route = route
+        self._catalogue = catalogue
+        self._tools = tools
+        self._shards = [_Shard(pool) for pool in route.shards.pools]
+        self._latency = tools.servers.latency_of(route.name, route.objective_s)
+        self._until = longest_until(request.arrived_at, request.patience_s, route)
+        self._objective_at = request.arrived_at + route.objective_s - OBJECTIVE_MARGIN_S
+        self._wakeup = Wakeup()
+        self._parts = 0
+        self.hedges = 0
+        self.retries = 0
+
+    async def run(self) -> Answer:
+        """Ask all shards and return the answer."""
+        if self._reachable_shards() < self._route.shards.least_parts:
+            return Refused(NotRun(NotRunReason.NO_SERVER), NO_SERVER_RETRY_S)
+        try:
+            for shard in self._shards:
+                self._send_first(shard)
+            await self._gather()
+        finally:
+            self._cancel_all()
+        return self._answer()
+
+    def coverage(self) -> float:
+        """Share of shards that are in."""
+        return self._parts / len(self._shards)
+
+    def missing_pools(self) -> list[str]:
+        """Names of the shards that are not in."""
+        return [shard.pool for shard in self._shards if shard.reply is None]
+
+    async def _gather(self) -> None:
+        """Wait for parts; hedge at each sweep; return when it is time to answer."""
+        now = self._tools.clock.now()
+        sweep_at = self._request.arrived_at + self._hedge_after_s()
+        while not self._is_done(now):
+            wake_at = min(sweep_at, self._next_decision(now))
+            await self._wakeup.wait_until(wake_at, now)
+            now = self._tools.clock.now()
+            if now >= sweep_at and not self._is_done(now):
+                self._sweep(now)
+                sweep_at = now + (SWEEP_S if now < self._objective_at else LATE_SWEEP_S)
+
+    def _is_done(self, now: float) -> bool:
+        if self._parts == len(self._shards) or now >= self._until - DEADLINE_MARGIN_S:
+            return True
+        if self._parts < self._route.shards.least_parts or now < self._objective_at:
+            return False
+        # At the objective what is there goes out; later the query waits for the rest again.
+        return now < self._objective_at + LATE_SWEEP_S or now >= self._late_at()
+
+    def _late_at(self) -> float:
+        return self._request.arrived_at + LATE_PATIENCE * self._route.objective_s
+
+    def _next_decision(self, now: float) -> float:
+        for at in (self._objective_at, self._late_at()):
+            if now < at:
+                return min(at, self._until - DEADLINE_MARGIN_S)
+        return self._until - DEADLINE_MARGIN_S
+
+    def _hedge_after_s(self) -> float:
+        objective_s = self._route.objective_s
+        return min(
+            LATEST_HEDGE * objective_s, max(EARLIEST_HEDGE * objective_s, self._latency.late_s)
+        )
+
+    def _reachable_shards(self) -> int:
+        return sum(1 for shard in self._shards if self._tools.chooser.has_servers(shard.pool))
+
+    def _sweep(self, now: float) -> None:
+        hedge_after_s = self._hedge_after_s()
+        for shard in self._shards:
+            if shard.reply is not None:
+                continue
+            if not shard.tried:
+                self._send_first(shard)
+            elif not shard.sendings:
+                self._send_again(shard)
+            elif now - shard.sendings[-1].started_at >= hedge_after_s and self._send_extra(shard):
+                self.hedges += 1
+
+    def _send_first(self, shard: _Shard) -> None:
+        if self._send(shard, ()):
+            self._tools.budget(shard.pool).note_first()
+
+    def _send_again(self, shard: _Shard) -> None:
+        if self._send_extra(shard):
+            self.retries += 1
+
+    def _send_extra(self, shard: _Shard) -> bool:
+        if len(set(shard.tried)) >= self._route.max_servers:
+            return False
+        budget = self._tools.budget(shard.pool)
+        if not budget.take():
+            self._tools.metrics.retries.labels(shard.pool, "no_budget").inc()
+            return False
+        if self._send(shard, shard.tried):
+            return True
+        budget.give_back()
+        return False
+
+    def _send(self, shard: _Shard, tried: list[str] | tuple[()]) -> bool:
+        rules = rules_of(self._catalogue, shard.pool)
+        server = self._tools.chooser.choose(rules, self._latency, tried)
+        if server is None:
+            return False
+        shard.tried.append(server.server)
+        sending = self._tools.sender.send(
+            self._request,
+            self._route,
+            server,
+            self._until - DEADLINE_MARGIN_S,
+            lambda sending, result: self._on_result(shard, sending, result),
+        )
+        shard.sendings.append(sending)
+        return True
+
+    def _on_result(self, shard: _Shard, sending: Sending, result: SendResult) -> None:
+        shard.sendings.remove(sending)
+        if shard.reply is not None:
+            return
+        if isinstance(result, ServerReply) and result.success:
+            self._take_part(shard, result)
+            return
+        if result is SendFailure.NOT_SENT:
+            shard.tried.remove(sending.server.server)
+        if not shard.sendings and self._tools.clock.now() < self._until - DEADLINE_MARGIN_S:
+            if shard.tried:
+                self._send_again(shard)
+            else:
+                self._send_unsent(shard, sending)
+
+    def _send_unsent(self, shard: _Shard, failed: Sending) -> None:
+        """Send a first sub-request to another server after a failed connect."""
+        self._send(shard, [failed.server.server])
+
+    def _take_part(self, shard: _Shard, reply: ServerReply) -> None:
+        shard.reply = reply
+        self._parts += 1
+        for sending in shard.sendings:
+            sending.cancel()
+        shard.sendings.clear()
+        if self._parts == len(self._shards):
+            self._wakeup.set()
+
+    def _cancel_all(self) -> None:
+        for shard in self._shards:
+            for sending in shard.sendings:
+                sending.cancel()
+            shard.sendings.clear()
+
+    def _answer(self) -> Answer:
+        shards = self._route.shards
+        if self._parts < shards.least_parts:
+            late = self._tools.clock.now() >= self._until - DEADLINE_MARGIN_S
+            reason = UnknownReason.TIMED_OUT if late else UnknownReason.COVERAGE_BELOW
+            return Refused(Unknown(reason))
+        replies = [shard.reply for shard in self._shards if shard.reply is not None]
+        body = greatest_records([reply.body for reply in replies], shards.top_records)
+        digests = tuple(reply.digest for reply in replies)
+        return Gathered(body, digests, len(self._shards) - self._parts)
--- /dev/null
+++ b/bergamotgate/relay/sender.py
@@ -0,0 +1,164 @@
+"""Sends one sub-request to one server and learns from how it ended."""
+
+import itertools
+from collections.abc import Callable
+
+from loguru import logger
+
+from bergamotgate.backend.http1 import ExchangeEnd, RawReply
+from bergamotgate.backend.pool import Exchange
+from bergamotgate.clock import Clock, milliseconds
+from bergamotgate.config.catalogue import Route
+from bergamotgate.discovery.registry import ServerRegistry
+from bergamotgate.discovery.servers import DiscoveredServer
+from bergamotgate.metrics import Metrics
+from bergamotgate.placement.load import RouteLatency, ServerLoad
+from bergamotgate.relay.messages import (
+    ClientRequest,
+    SendFailure,
+    SendResult,
+    ServerCodec,
+    ServerReply,
+)
+from bergamotgate.relay.servers import ServerBook
+
+__all__ = ["Sender", "Sending"]
+
+LEAST_BUDGET_MS = 1
+OnResult = Callable[["Sending", SendResult], None]
+
+FAILURE_BY_END = {
+    ExchangeEnd.NOT_SENT: SendFailure.NOT_SENT,
+    ExchangeEnd.DIED: SendFailure.DIED,
+    ExchangeEnd.GARBLED: SendFailure.GARBLED,
+    ExchangeEnd.TIMED_OUT: SendFailure.TIMED_OUT,
+}
+
+
+class Sending:
+    """A sub-request on its way to one server.
+
+    Attributes:
+        server: Where it goes.
+        started_at: Time on the own clock at which it was sent.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        request: ClientRequest,
+        server: DiscoveredServer,
+        load: ServerLoad,
+        latency: RouteLatency,
+        started_at: float,
+    ):
+        self.number = number
+        self.request = request
+        self.server = server
+        self.load = load
+        self.latency = latency
+        self.started_at = started_at
+        self.exchange: Exchange | None = None
+
+    def cancel(self) -> None:
+        """Give it up; the server drops the request when its connection closes."""
+        if self.number not in self.load.in_flight:
+            return
+        took_s = self.load.end(self.number)
+        self.load.note_given_up(took_s, self.latency.median_s)
+        if self.exchange is not None:
+            self.exchange.cancel()
+
+
+class Sender:
+    """Sends the sub-requests of this process."""
+
+    def __init__(
+        self,
+        servers: ServerBook,
+        registry: ServerRegistry,
+        codec: ServerCodec,
+        clock: Clock,
+        metrics: Metrics,
+    ):
+        self._servers = servers
+        self._registry = registry
+        self._codec = codec
+        self._clock = clock
+        self._metrics = metrics
+        self._numbers = itertools.count(1)
+
+    def send(
+        self,
+        request: ClientRequest,
+        route: Route,
+        server: DiscoveredServer,
+        until: float,
+        on_result: OnResult,
+    ) -> Sending:
+        """Send a request to a server and call back with the result, once.
+
+        Args:
+            request: What to send.
+            route: Its route.
+            server: Where to.
+            until: Time on the own clock at which the reply is no longer of use.
+            on_result: Gets the sending and its result; not called after it was cancelled.
+        """
+        now = self._clock.now()
+        load = self._servers.load_of(server.server)
+        latency = self._servers.latency_of(route.name, route.objective_s)
+        sending = Sending(next(self._numbers), request, server, load, latency, now)
+        load.begin(sending.number)
+        budget_s = max(LEAST_BUDGET_MS / 1000, until - now)
+        data = self._codec.encode(request, server, milliseconds(budget_s))
+        sending.exchange = self._servers.connections_of(server.server).send(
+            data,
+            budget_s,
+            not route.idempotent,
+            lambda result: self._ended(sending, result, on_result),
+        )
+        return sending
+
+    def _ended(self, sending: Sending, end: RawReply | ExchangeEnd, on_result: OnResult) -> None:
+        took_s = sending.load.end(sending.number)
+        result = self._read(sending, end)
+        pool = sending.server.pool
+        if isinstance(result, ServerReply):
+            self._learn_reply(sending, result, took_s)
+        else:
+            sending.load.note_failure()
+            self._metrics.declined.labels(pool, result.value).inc()
+            logger.debug(
+                "relay: {} at {} of {}: {}.",
+                sending.request.attempt,
+                sending.server.server,
+                pool,
+                result.value,
+            )
+        on_result(sending, result)
+
+    def _read(self, sending: Sending, end: RawReply | ExchangeEnd) -> SendResult:
+        if not isinstance(end, RawReply):
+            return FAILURE_BY_END[end]
+        decoded = self._codec.decode(sending.request, end)
+        if isinstance(decoded, ServerReply):
+            return decoded
+        self._metrics.wrong_replies.labels(sending.server.pool, decoded.value).inc()
+        return SendFailure.WRONG_REPLY
+
+    def _learn_reply(self, sending: Sending, reply: ServerReply, took_s: float) -> None:
+        load = sending.load
+        if reply.misdirected:
+            load.note_failure()
+            self._metrics.declined.labels(sending.server.pool, "misdirected").inc()
+        elif reply.not_run:
+            load.note_shed()
+            self._metrics.declined.labels(sending.server.pool, "shed").inc()
+        elif reply.success:
+            load.note_reply(took_s, sending.latency.median_s)
+            sending.latency.record(took_s)
+            self._metrics.pool_latency.labels(sending.server.pool).observe(took_s)
+        else:
+            load.note_failure()
+            self._metrics.declined.labels(sending.server.pool, "server_error").inc()
--- /dev/null
+++ b/bergamotgate/relay/tools.py
@@ -0,0 +1,75 @@
+"""What every relayed request works with."""
+
+import asyncio
+from dataclasses import dataclass
+
+from bergamotgate.clock import Clock
+from bergamotgate.config.catalogue import Catalogue, PoolRules, Route
+from bergamotgate.metrics import Metrics
+from bergamotgate.placement.chooser import ServerChooser
+from bergamotgate.placement.extra import PoolExtraBudget
+from bergamotgate.relay.budgets import ExtraBudgets
+from bergamotgate.relay.sender import Sender
+from bergamotgate.relay.servers import ServerBook
+
+__all__ = ["RelayTools", "Wakeup"]
+
+# A pool that no configuration describes is used with these rules.
+UNDESCRIBED_CONNECTIONS = 16
+
+
+@dataclass(frozen=True)
+class RelayTools:
+    """Shared by the runs of all requests."""
+
+    sender: Sender
+    chooser: ServerChooser
+    servers: ServerBook
+    budgets: ExtraBudgets
+    clock: Clock
+    metrics: Metrics
+
+    def budget(self, pool: str) -> PoolExtraBudget:
+        """The extra budget of a pool."""
+        return self.budgets.of(pool)
+
+
+def rules_of(catalogue: Catalogue, pool: str) -> PoolRules:
+    """Rules of a pool, with careful ones where the catalogue has none."""
+    rules = catalogue.rules_by_pool.get(pool)
+    return rules or PoolRules(pool, "/health", UNDESCRIBED_CONNECTIONS, 0.0, 0.0)
+
+
+class Wakeup:
+    """Lets one task wait for a callback or for a time, whichever comes first."""
+
+    def __init__(self) -> None:
+        self._event = asyncio.Event()
+
+    def set(self) -> None:
+        """Wake the task."""
+        self._event.set()
+
+    async def wait_until(self, at: float, now: float) -> bool:
+        """Return whether it was woken before that time."""
+        if at <= now:
+            return self._event.is_set()
+        handle = asyncio.get_running_loop().call_later(at - now, self._time_is_up)
+        self._timed_out = False
+        await self._event.wait()
+        handle.cancel()
+        if not self._timed_out:
+            self._event.clear()
+            return True
+        self._event.clear()
+        return False
+
+    def _time_is_up(self) -> None:
+        self._timed_out = True
+        self._event.set()
+
+
+def longest_until(request_arrived_at: float, patience_s: float | None, route: Route) -> float:
+    """Time on the own clock at which the client must have its answer."""
+    wait_s = route.timeout_s if patience_s is None else min(patience_s, route.timeout_s)
+    return request_arrived_at + wait_s
--- a/bergamotgate/wire/link.py
+++ b/bergamotgate/wire/link.py
@@ -210,7 +210,9 @@
                 self._context.metrics.late_replies.labels("peer").inc()
             else:
                 pending.on_reply(reply)
-        answer = frame.tables_reply or frame.vm_list_reply or frame.keeper_reply
+        answer = (
+            frame.tables_reply or frame.vm_list_reply or frame.keeper_reply or frame.published_reply
+        )
         if answer is None:
             return
         call = self._call_by_number.get(answer.call)
--- a/idl/bergamotgate.thrift
+++ b/idl/bergamotgate.thrift
@@ -28,6 +28,26 @@
 struct LeaseAsk { 1: required i64 sequence, 2: required string vm_list_digest, 3: required list<string> warm }
 struct LeaseGrant { 1: required i64 sequence, 2: required string vm_list_digest }
 
+// A published item without value was withdrawn.
+struct PublishedItem { 1: required string key, 2: required i64 revision, 3: optional binary value }
+
+// Changes between two revisions of the store; ``since`` is -1 where the changes did not fit.
+struct PublishedNews {
+  1: required i64 since
+  2: required i64 as_of
+  3: required i32 age_ms
+  4: required list<PublishedItem> items
+}
+
+struct PublishedAsk { 1: required i64 call, 2: required i64 have }
+struct PublishedReply {
+  1: required i64 call
+  2: required i64 as_of
+  3: required i32 age_ms
+  4: required bool whole
+  5: required list<PublishedItem> items
+}
+
 struct Datagram {
   1: required i16 version
   2: required string sender
@@ -41,6 +61,7 @@
   10: optional RevisionMark vm_list
   11: optional list<Strike> strikes
   12: optional bool reply_wanted
+  13: optional PublishedNews news
 }
 
 enum Outcome {
@@ -147,4 +168,6 @@
   11: optional i64 echo
   12: optional i64 echo_reply
   13: optional Hello hello
+  14: optional PublishedAsk published_ask
+  15: optional PublishedReply published_reply
 }
