Tell peers exactly what a poll brought

Cause: the news of a poll carried the teller's own revision instead of the poll's, so that a peer skipped what lay between; and the age of a table that was never confirmed could not be told. Ruled out: the store's watch with an empty prefix, which brings all changes.

--- a/bergamotgate/gateway/beliefs.py
+++ b/bergamotgate/gateway/beliefs.py
@@ -60,9 +60,6 @@
     def decode(self, item: PublishedItem) -> Decoded:
         """What an item says; None for one that concerns nobody here."""
 
-    def same_content(self, key: str, old: bytes, new: bytes) -> bool:
-        """Whether two values of an item say the same."""
-
 
 class Beliefs:
     """Follows the item table.
--- a/bergamotgate/gateway/node.py
+++ b/bergamotgate/gateway/node.py
@@ -164,7 +164,7 @@
 
     def _make_publication(self, clock: Clock) -> None:
         services = self._services
-        self.items = ItemTable(clock, services.decoder.same_content)
+        self.items = ItemTable(clock)
         self.spread = PublicationSpread(
             self.items, self.port, self.links, self._peers, clock, self.metrics
         )
--- a/bergamotgate/platform/itemdecoder.py
+++ b/bergamotgate/platform/itemdecoder.py
@@ -28,8 +28,6 @@
     "idempotent": Repeatability.IDEMPOTENT,
     "non_idempotent": Repeatability.AT_MOST_ONCE,
 }
-# Counts a server's reports; says nothing about the server itself.
-REPORT_COUNTER = "sequence"
 
 
 class _Field(ValueError):
@@ -49,20 +47,6 @@
             return _decode_catalogue(item)
         return None
 
-    def same_content(self, key: str, old: bytes, new: bytes) -> bool:
-        """Whether two registrations differ in nothing but their count of reports."""
-        if old == new:
-            return True
-        if not key.startswith(SERVER_PREFIX):
-            return False
-        try:
-            before, after = json.loads(old), json.loads(new)
-            before.pop(REPORT_COUNTER, None)
-            after.pop(REPORT_COUNTER, None)
-        except (ValueError, AttributeError):
-            return False
-        return before == after
-
 
 def _decode_server(item: PublishedItem) -> Decoded:
     server = item.key.removeprefix(SERVER_PREFIX)
--- a/bergamotgate/publication/items.py
+++ b/bergamotgate/publication/items.py
@@ -27,7 +27,6 @@
 
 
 OnItems = Callable[[list[PublishedItem]], None]
-SameContent = Callable[[str, bytes, bytes], bool]
 
 
 class ItemTable:
@@ -38,9 +37,8 @@
         confirmed_at: Time on the own clock at which the table was known to be current.
     """
 
-    def __init__(self, clock: Clock, same_content: SameContent):
+    def __init__(self, clock: Clock):
         self._clock = clock
-        self._same_content = same_content
         self._item_by_key: dict[str, PublishedItem] = {}
         self._complete_after = 0
         self._listeners: list[OnItems] = []
@@ -108,14 +106,6 @@
             return False
         if known is None and item.value is None:
             return False
-        same = (
-            known is not None
-            and known.value is not None
-            and item.value is not None
-            and self._same_content(item.key, known.value, item.value)
-        )
-        if same:
-            return False
         self._item_by_key[item.key] = item
         if item.value is None:
             self._forget_oldest()
--- a/bergamotgate/publication/source.py
+++ b/bergamotgate/publication/source.py
@@ -1,6 +1,7 @@
 """Where published items are read: the platform's store, or memory for tests."""
 
 import asyncio
+import contextlib
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -95,10 +96,8 @@
         if after < self._oldest:
             raise HistoryLost(after)
         if after >= self.revision:
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), wait_s)
-            except TimeoutError:
-                return ItemChanges(self.revision, ())
         found = tuple(item for item in self._log if item.revision > after)
         return ItemChanges(self.revision, found)
 
--- a/bergamotgate/publication/spread.py
+++ b/bergamotgate/publication/spread.py
@@ -22,6 +22,8 @@
 MAX_NEWS_BYTES = 6000
 ITEM_OVERHEAD_BYTES = 24
 NOT_CARRIED = -1
+# Stands for any greater age, also of what was never confirmed.
+MAX_AGE_S = 1_000_000.0
 
 
 class PublicationSpread:
@@ -69,8 +71,8 @@
         items = self._carried(news)
         message = ttypes.PublishedNews(
             since=since if items is not None else NOT_CARRIED,
-            as_of=self._table.as_of,
-            age_ms=milliseconds(self._table.age_s()),
+            as_of=news.as_of,
+            age_ms=self._age_ms(),
             items=items or [],
         )
         for address in self._peers():
@@ -84,20 +86,13 @@
 
     def _carried(self, news: ItemChanges) -> list[ttypes.PublishedItem] | None:
         """The changes in message form; None when they do not fit into a datagram."""
-        changed = {item.key: item for item in news.items}
-        held = [
-            item
-            for item in self._table.changes_after(UNREAD) or ()
-            if item.key in changed and item.revision == changed[item.key].revision
-        ]
-        size = sum(len(i.key) + len(i.value or b"") + ITEM_OVERHEAD_BYTES for i in held)
-        return [_message(item) for item in held] if size <= MAX_NEWS_BYTES else None
+        newest = {item.key: item for item in news.items}.values()
+        size = sum(len(i.key) + len(i.value or b"") + ITEM_OVERHEAD_BYTES for i in newest)
+        return [_message(item) for item in newest] if size <= MAX_NEWS_BYTES else None
 
     def _receive(self, address: str, message: ttypes.Datagram) -> None:
         if message.reply_wanted and self._table.as_of != UNREAD:
-            mark = ttypes.PublishedNews(
-                NOT_CARRIED, self._table.as_of, milliseconds(self._table.age_s()), []
-            )
+            mark = ttypes.PublishedNews(NOT_CARRIED, self._table.as_of, self._age_ms(), [])
             self._port.send(address, news=mark)
         if message.news is not None:
             self._learn(address, message.news)
@@ -114,6 +109,9 @@
         self._table.merge(news.since, news.as_of, [_item(item) for item in news.items])
         self._table.confirm(current_at)
 
+    def _age_ms(self) -> int:
+        return milliseconds(min(MAX_AGE_S, self._table.age_s()))
+
     async def _fetch(self, address: str) -> None:
         number = self._links.next_call()
         ask = ttypes.PublishedAsk(number, self._table.as_of)
@@ -166,7 +164,7 @@
         reply = ttypes.PublishedReply(
             call=ask.call,
             as_of=self._table.as_of,
-            age_ms=milliseconds(self._table.age_s()),
+            age_ms=self._age_ms(),
             whole=changes is None,
             items=[_message(item) for item in items],
         )
