Read a lost history anew as it is now, and put nothing older in force at the start

The store dropped its history while stale reads were 6 s behind, so that each new reading was older than the history that was left, and the configuration published meanwhile never came. Ruled out: peers (none had it either). Change: only the first reading may be stale, and it comes into force together with what changed since. Test: test_a_lost_history_is_read_anew_and_current fails before.

--- a/bergamotgate/platform/store.py
+++ b/bergamotgate/platform/store.py
@@ -32,8 +32,8 @@
         self._base = f"http://{address}/api"
         self._client: AsyncHTTPClient | None = None
 
-    async def read_all(self) -> ItemChanges:
-        """Read every item, page by page; the reading may be some seconds old.
+    async def read_all(self, newest: bool) -> ItemChanges:
+        """Read every item, page by page; a reading that need not be current costs a tenth.
 
         Raises:
             PlatformUnavailable: No usable answer.
@@ -42,7 +42,7 @@
         after = ""
         as_of: int | None = None
         for _ in range(MAX_PAGES):
-            query = {"prefix": "", "staleOk": "1"}
+            query = {"prefix": ""} if newest else {"prefix": "", "staleOk": "1"}
             if after:
                 query["after"] = after
             page = await self._get("kv-range", query, READ_TIMEOUT_S)
--- a/bergamotgate/publication/follower.py
+++ b/bergamotgate/publication/follower.py
@@ -21,6 +21,8 @@
 # Longest wait of one poll, and the pause between polls while changes keep coming.
 POLL_WAIT_S = 1.0
 POLL_EVERY_S = 0.7
+# The first poll only proves that the reading before it is current.
+FIRST_POLL_WAIT_S = 0.01
 # A stand-by polls once its knowledge is older than this, plus a step for each rank before it.
 STAND_BY_AGE_S = 1.9
 STAND_BY_STEP_S = 0.4
@@ -122,13 +124,9 @@
         """Read what is new; return whether the store answered."""
         asked_at = self._clock.now()
         since = self._table.as_of
-        kind = "read" if since == UNREAD else "watch"
         try:
             if since == UNREAD:
-                whole = await self._source.read_all()
-                self._table.replace_all(whole.as_of, whole.items)
-                self._metrics.service_calls.labels("store_read", "answered").inc()
-                since = self._table.as_of
+                return await self._read_first(asked_at)
             news = await self._source.changes(since, POLL_WAIT_S)
         except HistoryLost as error:
             logger.warning("publication: {}", error)
@@ -136,19 +134,33 @@
             await self._reread()
             return True
         except PlatformUnavailable as error:
-            self._note_failure(kind, error)
+            self._note_failure("read" if since == UNREAD else "watch", error)
             return False
-        self._note_answer()
+        self._note_answer("watch")
         self._take(since, news, asked_at)
         return True
 
+    async def _read_first(self, asked_at: float) -> bool:
+        """Read everything, and what changed since; nothing older comes into force between."""
+        whole = await self._source.read_all(newest=False)
+        self._note_answer("read")
+        news = await self._source.changes(whole.as_of, FIRST_POLL_WAIT_S)
+        self._note_answer("watch")
+        item_by_key = {item.key: item for item in (*whole.items, *news.items)}
+        present = [item for item in item_by_key.values() if item.value is not None]
+        self._table.replace_all(news.as_of, present)
+        self._table.confirm(asked_at)
+        self._on_news(whole.as_of, news)
+        return True
+
     async def _reread(self) -> None:
+        """Read everything as it is now: an older reading may lie before the lost history too."""
         try:
-            whole = await self._source.read_all()
+            whole = await self._source.read_all(newest=True)
         except PlatformUnavailable as error:
             self._note_failure("read", error)
             return
-        self._metrics.service_calls.labels("store_read", "answered").inc()
+        self._note_answer("read")
         self._table.replace_all(whole.as_of, whole.items)
 
     def _take(self, since: int, news: ItemChanges, asked_at: float) -> None:
@@ -160,8 +172,8 @@
             logger.info("publication: This VM polls the store for the fleet.")
         self._on_news(since, news)
 
-    def _note_answer(self) -> None:
-        self._metrics.service_calls.labels("store_watch", "answered").inc()
+    def _note_answer(self, kind: str) -> None:
+        self._metrics.service_calls.labels(f"store_{kind}", "answered").inc()
         self._retry_s = RETRY_FIRST_S
         if not self.available:
             logger.info("publication: The store answers again.")
--- a/bergamotgate/publication/source.py
+++ b/bergamotgate/publication/source.py
@@ -39,8 +39,12 @@
 class ItemSource(Protocol):
     """Reads the store; each call counts at the platform."""
 
-    async def read_all(self) -> ItemChanges:
-        """Read every item; the reading may be some seconds old.
+    async def read_all(self, newest: bool) -> ItemChanges:
+        """Read every item.
+
+        Args:
+            newest: Whether the reading must be current; one that may be some seconds old is
+                cheaper for the store.
 
         Raises:
             PlatformUnavailable: No usable answer.
@@ -61,6 +65,8 @@
     Attributes:
         down: Whether calls fail.
         calls: Number of calls so far.
+        hold_watches: Whether a watch hears nothing.
+        stale_by: Revisions by which a reading that need not be current is behind.
     """
 
     def __init__(self) -> None:
@@ -70,6 +76,8 @@
         self.revision = 1
         self.down = False
         self.calls = 0
+        self.hold_watches = False
+        self.stale_by = 0
 
     def publish(self, key: str, value: bytes | None) -> int:
         """Write or withdraw an item; return its revision."""
@@ -83,12 +91,13 @@
         """Make changes up to now unavailable."""
         self._oldest = self.revision
 
-    async def read_all(self) -> ItemChanges:
+    async def read_all(self, newest: bool) -> ItemChanges:
         """Read every item."""
         self._count()
-        item_by_key = {item.key: item for item in self._log}
+        as_of = self.revision if newest else max(1, self.revision - self.stale_by)
+        item_by_key = {item.key: item for item in self._log if item.revision <= as_of}
         present = tuple(item for item in item_by_key.values() if item.value is not None)
-        return ItemChanges(self.revision, present)
+        return ItemChanges(as_of, present)
 
     async def changes(self, after: int, wait_s: float) -> ItemChanges:
         """Wait for changes after a revision."""
@@ -98,6 +107,11 @@
         if after >= self.revision:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), wait_s)
+        if self.hold_watches:
+            await asyncio.sleep(wait_s)
+            return ItemChanges(after, ())
+        if after < self._oldest:
+            raise HistoryLost(after)
         found = tuple(item for item in self._log if item.revision > after)
         return ItemChanges(self.revision, found)
 
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -36,4 +36,21 @@
     await fleet.close()
 
 
+@virtual
+async def test_a_lost_history_is_read_anew_and_current():
+    fleet = GatewayFleet(3)
+    fleet.source.publish("op/config", make_config(1))
+    await fleet.start(5.0)
+    fleet.source.stale_by = 2
+    fleet.source.hold_watches = True
+    fleet.source.publish("op/config", make_config(2))
+    await asyncio.sleep(1.0)
+    fleet.source.forget_history()
+    fleet.source.hold_watches = False
+    await asyncio.sleep(IN_FORCE_S)
+    for node in fleet.nodes:
+        check.assertEqual(2, node.beliefs.catalogue.version)
+    await fleet.close()
+
+
 load_tests = cases(globals())
