Let every request that was read get its answer when a process leaves

Ruled out: requests that were handled already; they were waited for. Change: a connection that waits for no bytes counts as busy; all close within one turn. Test: test_a_request_that_was_read_is_answered_when_the_process_leaves fails before.

--- a/bergamotgate/gateway/node.py
+++ b/bergamotgate/gateway/node.py
@@ -34,7 +34,6 @@
 __all__ = ["GatewayNode", "GatewayServices", "GatewaySettings"]
 
 EXPIRE_EVERY_S = 0.2
-DRAIN_STEP_S = 0.05
 # After SIGTERM the process goes on so long, while clients learn of other addresses.
 LEAVE_NOTICE_S = 3.0
 
@@ -140,18 +139,12 @@
         """Whether clients should be sent here."""
         return self.beliefs.catalogue is not None and not self.desk.draining
 
-    async def drain(self) -> bool:
-        """Leave the fleet, finish what runs; return whether all was finished in time."""
+    async def leave(self) -> None:
+        """Leave the fleet, and serve on while clients learn of other addresses."""
         logger.info("gateway: This VM leaves.")
-        clock = self._services.clock
-        started = clock.now()
         self.desk.draining = True
         self.prober.leave()
-        last = started + self.settings.grace_s - 0.7
-        await clock.sleep(min(LEAVE_NOTICE_S, self.settings.grace_s / 2))
-        while self.desk.in_progress and clock.now() < last:
-            await clock.sleep(DRAIN_STEP_S)
-        return not self.desk.in_progress
+        await self._services.clock.sleep(min(LEAVE_NOTICE_S, self.settings.grace_s / 2))
 
     async def close(self) -> None:
         """Stop everything at once."""
--- a/bergamotgate/platform/daemon.py
+++ b/bergamotgate/platform/daemon.py
@@ -25,6 +25,8 @@
 
 EXIT_SETTINGS = 2
 EXIT_ADDRESS = 3
+# The process ends this long before the platform would kill it.
+EXIT_MARGIN_S = 0.6
 
 
 @click.command()
@@ -76,9 +78,10 @@
     await node.start()
     logger.info("gateway: Serving clients at {}.", settings.front)
     await stopped.wait()
-    finished = await node.drain()
+    last = clock.now() + settings.grace_s - EXIT_MARGIN_S
+    await node.leave()
+    finished = await ingress.drain(last)
     logger.info("gateway: Drained {}.", "whole" if finished else "in part")
-    await ingress.close()
     await node.close()
 
 
--- a/bergamotgate/platform/ingress.py
+++ b/bergamotgate/platform/ingress.py
@@ -8,6 +8,7 @@
 from loguru import logger
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 
 from bergamotgate.clock import Clock
@@ -44,18 +45,37 @@
 # Clients reuse connections up to four fifths of the stated limit; ours is never shorter.
 IDLE_TIMEOUT_S = 60.0
 BODY_TIMEOUT_S = 20.0
+DRAIN_STEP_S = 0.02
 UNKNOWN_STATUS = {UnknownReason.TIMED_OUT: 504}
 
 Serve = Callable[[HTTPServerRequest], Awaitable[None]]
 
 
+class _TrackingServer(HTTPServer):
+    """Knows its open connections, so that all can be closed at the same moment."""
+
+    def initialize(self, *args: object, **settings: object) -> None:
+        super().initialize(*args, **settings)
+        self._streams: set[IOStream] = set()
+
+    def handle_stream(self, stream: IOStream, address: tuple) -> None:
+        """Serve a connection."""
+        self._streams = {known for known in self._streams if not known.closed()} | {stream}
+        super().handle_stream(stream, address)
+
+    def open_streams(self) -> list[IOStream]:
+        """Connections that are open."""
+        return [stream for stream in self._streams if not stream.closed()]
+
+
 class Ingress:
     """The listening addresses of one gateway."""
 
     def __init__(self, node: GatewayNode, clock: Clock):
+        self.settings = node.settings
         self._node = node
         self._clock = clock
-        self._servers: list[HTTPServer] = []
+        self._servers: list[_TrackingServer] = []
         self._tasks: set[asyncio.Task] = set()
 
     def open(self) -> None:
@@ -64,24 +84,49 @@
         Raises:
             AddressInUse: Another process has an address.
         """
-        settings = self._node.settings
-        self._listen(settings.front, self._serve_client)
-        self._listen(settings.ready, self._serve_readiness)
-        self._listen(settings.directory, self._serve_directory)
+        self._listen(self.settings.front, self._serve_client)
+        self._listen(self.settings.ready, self._serve_readiness)
+        self._listen(self.settings.directory, self._serve_directory)
+
+    def front_streams(self) -> list[IOStream]:
+        """Open connections of clients."""
+        return self._servers[0].open_streams()
 
     def open_metrics(self, address: str) -> None:
         """Serve counters in the Prometheus text format."""
         self._listen(address, self._serve_metrics)
 
-    async def close(self) -> None:
-        """Stop to listen and close idle connections."""
+    async def drain(self, until: float) -> bool:
+        """Stop to listen, let requests that were read get their answers, and close.
+
+        Args:
+            until: Time on the own clock at which everything is closed.
+
+        Returns:
+            Whether every request that was read got its answer.
+        """
         for server in self._servers:
             server.stop()
+        while self._is_busy() and self._clock.now() < until:
+            await self._clock.sleep(DRAIN_STEP_S)
+        finished = not self._is_busy()
+        # Nothing is awaited here, so that no request is read and then cut.
         for server in self._servers:
-            await server.close_all_connections()
+            for stream in server.open_streams():
+                stream.close()
+        return finished
+
+    def _is_busy(self) -> bool:
+        """Whether a request was read that has no answer yet.
+
+        A connection that waits for no bytes has read a request, even if nobody handles it yet.
+        """
+        if self._tasks:
+            return True
+        return any(not s.reading() for server in self._servers for s in server.open_streams())
 
     def _listen(self, address: str, serve: Serve) -> None:
-        server = HTTPServer(
+        server = _TrackingServer(
             lambda request: self._start(serve, request),
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
@@ -109,25 +154,25 @@
     async def _serve_client(self, request: HTTPServerRequest) -> None:
         asked = _client_request(request, self._clock.now())
         if asked is None:
-            _respond(request, 400, HTTPHeaders(), b"", False)
+            await _respond(request, 400, HTTPHeaders(), b"", False)
             return
         answer = await self._node.desk.handle(asked)
         status, headers, body = _render(answer)
-        _respond(request, status, headers, body, self._node.desk.draining)
+        await _respond(request, status, headers, body, self._node.desk.draining)
 
     async def _serve_readiness(self, request: HTTPServerRequest) -> None:
-        _respond(request, 200 if self._node.is_ready() else 503, HTTPHeaders(), b"", False)
+        await _respond(request, 200 if self._node.is_ready() else 503, HTTPHeaders(), b"", False)
 
     async def _serve_directory(self, request: HTTPServerRequest) -> None:
         zone = request.arguments.get("zone", [b""])[0].decode(errors="replace")
         addresses = self._node.directory.addresses(zone)
         body = json.dumps({"addrs": addresses, "ttl_s": KEEP_S}).encode()
         headers = HTTPHeaders({"Content-Type": "application/json"})
-        _respond(request, 200 if addresses else 503, headers, body, False)
+        await _respond(request, 200 if addresses else 503, headers, body, False)
 
     async def _serve_metrics(self, request: HTTPServerRequest) -> None:
         headers = HTTPHeaders({"Content-Type": "text/plain; version=0.0.4"})
-        _respond(request, 200, headers, self._node.metrics.text(), False)
+        await _respond(request, 200, headers, self._node.metrics.text(), False)
 
 
 def _client_request(request: HTTPServerRequest, now: float) -> ClientRequest | None:
@@ -187,25 +232,22 @@
     return UNKNOWN_STATUS.get(reason, 502), headers, body
 
 
-def _respond(
+async def _respond(
     request: HTTPServerRequest, status: int, headers: HTTPHeaders, body: bytes, last: bool
 ) -> None:
     """Write an answer; close the connection after it if it is the last one."""
     connection = request.connection
-    connection.set_close_callback(None)
     headers["Content-Length"] = str(len(body))
     if last:
         headers["Connection"] = "close"
     start = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
     chunk = b"" if request.method == "HEAD" else body
+    stream = connection.stream
     written = connection.write_headers(start, headers, chunk)
     connection.finish()
-    written.add_done_callback(lambda done: _written(done, request if last else None))
-
-
-def _written(done: asyncio.Future, to_close: HTTPServerRequest | None) -> None:
-    """Take the result of a write; a client that has left needs no answer."""
-    if not done.cancelled():
-        done.exception()
-    if to_close is not None and to_close.connection.stream is not None:
-        to_close.connection.stream.close()
+    try:
+        await written
+    except StreamClosedError:
+        return  # the client has left
+    if last and stream is not None:
+        stream.close()
