--- a/bergamotgate/placement/chooser.py
+++ b/bergamotgate/placement/chooser.py
@@ -13,7 +13,7 @@
 __all__ = ["ServerChooser"]
 
 # What a reply from another zone costs beside its round trip, as seconds of waiting.
-OTHER_ZONE_COST_S = 0.012
+OTHER_ZONE_COST_S = 0.025
 # Slowness of a cold server without a stated limit, until it has been observed.
 COLD_SLOWNESS = 1.6
 # Part of a server's connections that the fleet uses; dead ones still count at the server.
--- a/bergamotgate/placement/load.py
+++ b/bergamotgate/placement/load.py
@@ -24,6 +24,9 @@
 # First pause after a failure, doubled by each further one in a row.
 AVOID_FIRST_S = 0.25
 AVOID_MOST_S = 4.0
+# A request that was given up after this many medians counts as silence of its server.
+SILENT_FACTOR = 2.0
+SILENCES_TO_AVOID = 2
 
 
 class RouteLatency:
@@ -76,6 +79,7 @@
         self._slowness = 1.0
         self._learned_at = clock.now()
         self._avoid_until = float("-inf")
+        self._silences = 0
         self.in_flight: dict[object, float] = {}
         self.failures = 0
 
@@ -96,12 +100,20 @@
     def note_reply(self, took_s: float, median_s: float) -> None:
         """Learn from a reply."""
         self.failures = 0
+        self._silences = 0
         self._avoid_until = float("-inf")
         ratio = min(MOST_SLOWNESS, max(LEAST_SLOWNESS, took_s / median_s))
         self._learn(self.slowness + LEARN_WEIGHT * (ratio - self.slowness))
 
     def note_given_up(self, took_s: float, median_s: float) -> None:
-        """Learn from a request that was given up: it would have taken longer still."""
+        """Learn from a request that was given up: it would have taken longer still.
+
+        A server that answers nothing at all shows only by what is given up there.
+        """
+        if took_s > SILENT_FACTOR * median_s:
+            self._silences += 1
+            if self._silences >= SILENCES_TO_AVOID:
+                self.note_failure()
         ratio = min(MOST_SLOWNESS, took_s / median_s)
         if ratio > self.slowness:
             self._learn(self.slowness + LEARN_WEIGHT * (ratio - self.slowness))
@@ -117,8 +129,10 @@
         self._avoid_until = max(self._avoid_until, self._clock.now() + AVOID_FIRST_S / 5)
 
     def avoided(self) -> bool:
-        """Whether other servers should be tried first."""
-        return self._clock.now() < self._avoid_until
+        """Whether other servers should be tried first; after a failure one request tries it."""
+        if self._clock.now() < self._avoid_until:
+            return True
+        return self.failures > 0 and bool(self.in_flight)
 
     def oldest_age_s(self) -> float:
         """Age of the oldest request that is under way; 0 without any."""
