--- a/bergamotgate/clock.py
+++ b/bergamotgate/clock.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-__all__ = ["Clock", "LoopClock", "TaskGroup", "milliseconds", "wall_milliseconds"]
+__all__ = ["Clock", "LoopClock", "MonotonicClock", "TaskGroup", "milliseconds", "wall_milliseconds"]
 
 
 class Clock(Protocol):
@@ -40,6 +40,14 @@
         return asyncio.timeout(seconds)
 
 
+class MonotonicClock(LoopClock):
+    """The same time as the event loop's, read without looking for the loop."""
+
+    def now(self) -> float:
+        """Seconds of the monotonic clock."""
+        return time.monotonic()
+
+
 class TaskGroup:
     """Background tasks that end together and whose failures are logged, never lost."""
 
--- a/bergamotgate/discovery/registry.py
+++ b/bergamotgate/discovery/registry.py
@@ -67,7 +67,8 @@
 
     def cold_left_s(self, server: str) -> float:
         """Seconds for which a server stays cold by its own word; 0 when it is warm."""
-        return max(0.0, self._cold_until_by_id.get(server, 0.0) - self._clock.now())
+        cold_until = self._cold_until_by_id.get(server)
+        return 0.0 if cold_until is None else max(0.0, cold_until - self._clock.now())
 
     def note_cold(self, server: str, cold_ms: int) -> None:
         """Take a server's word for how long it stays cold."""
--- a/bergamotgate/gateway/desk.py
+++ b/bergamotgate/gateway/desk.py
@@ -103,6 +103,7 @@
             fields |= {"hedges": run.hedges, "retries": run.retries}
         if isinstance(run, ScatterRun):
             fields["missing"] = run.missing_pools()
+            fields["zones"] = dict(run.zones)
         elif isinstance(run, SingleRun):
             fields["servers"] = run.servers
         logger.bind(**fields).info("gateway: Request answered.")
--- a/bergamotgate/gateway/directory.py
+++ b/bergamotgate/gateway/directory.py
@@ -19,6 +19,9 @@
 MAX_ADDRESSES = 64
 # A zone with less than this share of the fullest zone's servers is not worth a visit.
 LEAST_ZONE_SHARE = 0.5
+# The largest VMs that hold this share of a zone's processor time serve its clients: a query over
+# many shards is faster on a larger VM, and fewer VMs learn more of each server.
+LARGEST_SHARE = 0.5
 
 
 class ClientDirectory:
@@ -45,7 +48,7 @@
 
     def _in_zone(self, members: list[Member], zone: str | None) -> list[Member]:
         nearby = [member for member in members if member.zone == zone]
-        return nearby or members
+        return _largest(nearby or members)
 
     def _choose_zone(self, members: list[Member], zone: str) -> str | None:
         """The caller's zone if it holds servers, else one that does, by its share of them."""
@@ -68,3 +71,17 @@
         sharded = {p for r in catalogue.routes if r.shards is not None for p in r.shards.pools}
         pools = sharded or set(catalogue.rules_by_pool)
         return Counter(zone for pool in pools for zone in self._registry.zones_of(pool))
+
+
+def _largest(members: list[Member]) -> list[Member]:
+    """The largest VMs that together have enough processor time; all where one does not say."""
+    if not all(member.capacity for member in members):
+        return members
+    needed = LARGEST_SHARE * sum(member.capacity for member in members)
+    least = 0
+    for member in sorted(members, key=lambda member: -member.capacity):
+        if needed <= 0:
+            break
+        needed -= member.capacity
+        least = member.capacity
+    return [member for member in members if member.capacity >= least]
--- a/bergamotgate/gateway/node.py
+++ b/bergamotgate/gateway/node.py
@@ -17,6 +17,8 @@
 from bergamotgate.placement.chooser import ServerChooser
 from bergamotgate.placement.cold import ColdAllowance
 from bergamotgate.publication import (
+    UNREAD,
+    Audience,
     ItemSource,
     ItemTable,
     PublicationFollower,
@@ -34,6 +36,7 @@
 __all__ = ["GatewayNode", "GatewayServices", "GatewaySettings"]
 
 EXPIRE_EVERY_S = 0.2
+JOIN_EVERY_S = 0.2
 # After SIGTERM the process goes on so long, while clients learn of other addresses.
 LEAVE_NOTICE_S = 3.0
 
@@ -54,6 +57,7 @@
         grace_s: Seconds from SIGTERM to SIGKILL.
         extra: What the operators allow beyond first requests.
         first_start: Whether the whole system starts for the first time.
+        capacity: Processor time of this VM, in hundredths of a core; 0 when it is not known.
     """
 
     vm: str
@@ -67,6 +71,7 @@
     grace_s: float
     extra: ExtraRules
     first_start: bool = False
+    capacity: int = 0
 
 
 @dataclass(frozen=True)
@@ -133,7 +138,7 @@
         await self.spread.open(self._services.network, self.settings.peer)
         self.prober.use_seeds(self.settings.seeds)
         self.prober.start()
-        self.prober.join([seed for seed in self.settings.seeds if seed != self.settings.peer])
+        self._tasks.start(self._join())
         self.follower.start()
         self._tasks.start(self._expire())
 
@@ -161,12 +166,13 @@
         services = self._services
         self.items = ItemTable(clock)
         self.spread = PublicationSpread(
-            self.items, self.port, self.links, self._peers, clock, self.metrics
+            self.items, self.port, self.links, Audience(self.members), clock, self.metrics
         )
         self.follower = PublicationFollower(
             self.items,
             services.source,
             self._watch_rank,
+            self._first_read_turn(),
             self.spread.tell,
             clock,
             services.rng,
@@ -201,20 +207,29 @@
             self.members, registry, lambda: self.beliefs.catalogue, services.rng
         )
 
+    async def _join(self) -> None:
+        """Ask the seeds until this VM knows what is published; they may start later."""
+        seeds = [seed for seed in self.settings.seeds if seed != self.settings.peer]
+        while seeds and self.items.as_of == UNREAD:
+            self.prober.join(seeds)
+            await self._services.clock.sleep(JOIN_EVERY_S)
+
     async def _expire(self) -> None:
         while True:
             await self._services.clock.sleep(EXPIRE_EVERY_S)
             self.beliefs.registry.expire()
 
-    def _peers(self) -> list[str]:
-        return [m.peer for m in self.members.others((MemberState.ALIVE, MemberState.SUSPECT))]
-
     def _vm_names(self) -> list[str]:
         return [m.vm for m in self.members.all() if m.reachable]
 
     def _vm_count(self) -> int:
         return len(self._vm_names())
 
+    def _first_read_turn(self) -> int:
+        """This VM's turn to read the store before it knows any peer: seeds go first."""
+        seeds = self.settings.seeds
+        return seeds.index(self.settings.peer) if self.settings.peer in seeds else len(seeds)
+
     def _watch_rank(self) -> int:
         """This VM's place among those that may poll the store."""
         return rank("store", self._vm_names()).index(self.settings.vm)
@@ -222,5 +237,12 @@
 
 def _own_member(settings: GatewaySettings, boot: int) -> Member:
     return Member(
-        settings.vm, settings.zone, settings.peer, settings.front, boot, 0, MemberState.ALIVE
+        settings.vm,
+        settings.zone,
+        settings.peer,
+        settings.front,
+        boot,
+        0,
+        MemberState.ALIVE,
+        settings.capacity,
     )
--- a/bergamotgate/membership/members.py
+++ b/bergamotgate/membership/members.py
@@ -35,6 +35,7 @@
         boot: Milliseconds since 1970 at the start of the process.
         incarnation: Raised by the process itself to contradict what is said of it.
         state: What is believed of it.
+        capacity: Processor time that it has, in hundredths of a core; 0 when it does not say.
     """
 
     vm: str
@@ -44,6 +45,7 @@
     boot: int
     incarnation: int
     state: MemberState
+    capacity: int = 0
 
     @property
     def precedence(self) -> tuple[int, int, int]:
@@ -63,7 +65,14 @@
     def record(self) -> MemberRecord:
         """The message form."""
         return MemberRecord(
-            self.vm, self.zone, self.peer, self.http, self.boot, self.incarnation, int(self.state)
+            self.vm,
+            self.zone,
+            self.peer,
+            self.http,
+            self.boot,
+            self.incarnation,
+            int(self.state),
+            self.capacity,
         )
 
     @staticmethod
@@ -81,6 +90,7 @@
             record.boot,
             record.incarnation,
             MemberState(record.state),
+            record.capacity or 0,
         )
 
 
--- a/bergamotgate/placement/load.py
+++ b/bergamotgate/placement/load.py
@@ -86,6 +86,8 @@
     @property
     def slowness(self) -> float:
         """Service time relative to the route's median; old observations fade to 1."""
+        if self._slowness == 1.0:
+            return 1.0
         age = self._clock.now() - self._learned_at
         return 1.0 + (self._slowness - 1.0) * math.pow(0.5, age / FORGET_HALF_LIFE_S)
 
--- a/bergamotgate/platform/daemon.py
+++ b/bergamotgate/platform/daemon.py
@@ -10,7 +10,7 @@
 import click
 from loguru import logger
 
-from bergamotgate.clock import LoopClock, wall_milliseconds
+from bergamotgate.clock import MonotonicClock, wall_milliseconds
 from bergamotgate.errors import AddressInUse, SettingsError
 from bergamotgate.gateway.node import GatewayNode, GatewayServices, GatewaySettings
 from bergamotgate.logs import set_up_decision_logs
@@ -58,7 +58,7 @@
     Raises:
         AddressInUse: An address of the settings is taken.
     """
-    clock = LoopClock()
+    clock = MonotonicClock()
     services = GatewayServices(
         source=PlatformStore(settings.store),
         decoder=PlatformItemDecoder(),
--- a/bergamotgate/platform/sitesettings.py
+++ b/bergamotgate/platform/sitesettings.py
@@ -97,6 +97,9 @@
             allowance=reader.number("bounds", "budgetSlack"),
             window_s=reader.number("bounds", "budgetWindowS"),
         ),
+        capacity=round(
+            100 * reader.number("limits", "cpuShare") * reader.number("limits", "cpuCores")
+        ),
         first_start=table.get("bootstrap") is True,
     )
     if reader.problems:
--- a/bergamotgate/publication/__init__.py
+++ b/bergamotgate/publication/__init__.py
@@ -1,7 +1,8 @@
 """Items that operators and servers publish in the platform's store, mirrored on every VM."""
 
+from bergamotgate.publication.audience import Audience
 from bergamotgate.publication.follower import PublicationFollower
-from bergamotgate.publication.items import ItemTable, PublishedItem
+from bergamotgate.publication.items import UNREAD, ItemTable, PublishedItem
 from bergamotgate.publication.source import (
     HistoryLost,
     ItemChanges,
@@ -11,6 +12,8 @@
 from bergamotgate.publication.spread import PublicationSpread
 
 __all__ = [
+    "UNREAD",
+    "Audience",
     "HistoryLost",
     "ItemChanges",
     "ItemSource",
--- a/bergamotgate/publication/follower.py
+++ b/bergamotgate/publication/follower.py
@@ -35,7 +35,8 @@
 AWAY_AGE_S = 2.5
 # Registrations that lapsed may still vanish and return for so long after the store's return.
 LAPSE_WINDOW_S = 4.0
-FIRST_READ_DELAY_S = 0.6
+# A VM that starts gives its peers so long for each seed before it, then reads by itself.
+FIRST_READ_STEP_S = 0.4
 
 
 class PublicationFollower:
@@ -50,6 +51,7 @@
         table: ItemTable,
         source: ItemSource,
         rank: Callable[[], int],
+        first_turn: int,
         on_news: Callable[[int, ItemChanges], None],
         clock: Clock,
         rng: random.Random,
@@ -58,6 +60,7 @@
         self._table = table
         self._source = source
         self._rank = rank
+        self._first_wait_s = FIRST_READ_STEP_S * first_turn * rng.uniform(1.0, 1.5)
         self._on_news = on_news
         self._clock = clock
         self._rng = rng
@@ -111,10 +114,9 @@
         now = self._clock.now()
         if now < self._retry_at:
             return False
-        rank = self._rank()
         if self._table.as_of == UNREAD:
-            wait_s = FIRST_READ_DELAY_S * min(rank, MAX_STEPS)
-            return now - self._started_at >= wait_s
+            return now - self._started_at >= self._first_wait_s
+        rank = self._rank()
         if rank == 0 or now < self._acting_until:
             return True
         allowed_s = STAND_BY_AGE_S + STAND_BY_STEP_S * min(rank, MAX_STEPS)
--- a/bergamotgate/publication/spread.py
+++ b/bergamotgate/publication/spread.py
@@ -1,12 +1,15 @@
-"""Tells peers what is published: changes at once by datagram, whole tables over a stream."""
+"""Tells peers what is published: changes at once by datagram, whole tables over a stream.
 
-from collections.abc import Callable
+Who polled the store tells its own availability zone and two relays in each other zone, which tell
+theirs, so that a change crosses between zones twice a zone and not once a VM.
+"""
 
 from loguru import logger
 
 from bergamotgate.clock import Clock, TaskGroup, milliseconds
 from bergamotgate.errors import FrameError, LinkLost
 from bergamotgate.metrics import Metrics
+from bergamotgate.publication.audience import Audience
 from bergamotgate.publication.items import UNREAD, ItemTable, PublishedItem
 from bergamotgate.publication.source import ItemChanges
 from bergamotgate.wire.codec import WIRE_VERSION, decode_frame, encode
@@ -34,14 +37,14 @@
         table: ItemTable,
         port: PeerPort,
         links: Links,
-        peers: Callable[[], list[str]],
+        audience: Audience,
         clock: Clock,
         metrics: Metrics,
     ):
         self._table = table
         self._port = port
         self._links = links
-        self._peers = peers
+        self._audience = audience
         self._clock = clock
         self._metrics = metrics
         self._tasks = TaskGroup("publication:")
@@ -67,15 +70,18 @@
         await self._tasks.close()
 
     def tell(self, since: int, news: ItemChanges) -> None:
-        """Tell every peer what a poll brought."""
-        items = self._carried(news)
+        """Tell what a poll brought."""
+        items = _carried(news)
         message = ttypes.PublishedNews(
             since=since if items is not None else NOT_CARRIED,
             as_of=news.as_of,
             age_ms=self._age_ms(),
             items=items or [],
         )
-        for address in self._peers():
+        self._send(self._audience.of_poll(), message)
+
+    def _send(self, addresses: list[str], message: ttypes.PublishedNews) -> None:
+        for address in addresses:
             self._port.send(address, news=message)
 
     def ask(self, address: str) -> None:
@@ -84,30 +90,26 @@
             self._fetching = True
             self._tasks.start(self._fetch(address))
 
-    def _carried(self, news: ItemChanges) -> list[ttypes.PublishedItem] | None:
-        """The changes in message form; None when they do not fit into a datagram."""
-        newest = {item.key: item for item in news.items}.values()
-        size = sum(len(i.key) + len(i.value or b"") + ITEM_OVERHEAD_BYTES for i in newest)
-        return [_message(item) for item in newest] if size <= MAX_NEWS_BYTES else None
-
     def _receive(self, address: str, message: ttypes.Datagram) -> None:
         if message.reply_wanted and self._table.as_of != UNREAD:
             mark = ttypes.PublishedNews(NOT_CARRIED, self._table.as_of, self._age_ms(), [])
             self._port.send(address, news=mark)
         if message.news is not None:
-            self._learn(address, message.news)
+            self._learn(address, message.sender, message.news)
 
-    def _learn(self, address: str, news: ttypes.PublishedNews) -> None:
+    def _learn(self, address: str, sender: str, news: ttypes.PublishedNews) -> None:
         current_at = self._clock.now() - news.age_ms / 1000
-        if news.as_of <= self._table.as_of:
-            if news.as_of == self._table.as_of:
-                self._table.confirm(current_at)
+        if news.as_of < self._table.as_of:
             return
-        if news.since == NOT_CARRIED or news.since > self._table.as_of:
+        carried = news.since != NOT_CARRIED and news.since <= self._table.as_of
+        if news.as_of > self._table.as_of and not carried:
             self.ask(address)
             return
-        self._table.merge(news.since, news.as_of, [_item(item) for item in news.items])
-        self._table.confirm(current_at)
+        if news.as_of > self._table.as_of:
+            self._table.merge(news.since, news.as_of, [_item(item) for item in news.items])
+        if current_at > self._table.confirmed_at:
+            self._table.confirm(current_at)
+            self._send(self._audience.of_relay(sender), news)
 
     def _age_ms(self) -> int:
         return milliseconds(min(MAX_AGE_S, self._table.age_s()))
@@ -135,6 +137,8 @@
             return
         if reply.as_of >= self._table.as_of:
             self._table.confirm(asked_at - reply.age_ms / 1000)
+            mark = ttypes.PublishedNews(NOT_CARRIED, self._table.as_of, self._age_ms(), [])
+            self._send(self._audience.of_fetch(), mark)
 
     async def _serve(self, stream: FrameStream) -> None:
         self._streams.add(stream)
@@ -171,6 +175,13 @@
         return ttypes.Frame(version=WIRE_VERSION, published_reply=reply)
 
 
+def _carried(news: ItemChanges) -> list[ttypes.PublishedItem] | None:
+    """The changes in message form; None when they do not fit into a datagram."""
+    newest = {item.key: item for item in news.items}.values()
+    size = sum(len(i.key) + len(i.value or b"") + ITEM_OVERHEAD_BYTES for i in newest)
+    return [_message(item) for item in newest] if size <= MAX_NEWS_BYTES else None
+
+
 def _message(item: PublishedItem) -> ttypes.PublishedItem:
     return ttypes.PublishedItem(item.key, item.revision, item.value)
 
--- a/bergamotgate/relay/scatter.py
+++ b/bergamotgate/relay/scatter.py
@@ -4,6 +4,7 @@
 objective an answer with a true number of missing shards goes out, if the route allows so few.
 """
 
+from collections import Counter
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
@@ -54,6 +55,7 @@
     Attributes:
         hedges: Sub-requests sent beside one that was late.
         retries: Sub-requests sent after a failure.
+        zones: Sub-requests by the zone of their server.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         self._wakeup = Wakeup()
         self._records = GreatestRecords(route.shards.top_records)
         self._parts = 0
+        self.zones: Counter[str] = Counter()
         self.hedges = 0
         self.retries = 0
 
@@ -185,6 +188,7 @@
             lambda sending, result: self._on_result(shard, sending, result),
         )
         shard.sendings.append(sending)
+        self.zones[server.zone] += 1
         return True
 
     def _on_result(self, shard: _Shard, sending: Sending, result: SendResult) -> None:
--- a/idl/bergamotgate.thrift
+++ b/idl/bergamotgate.thrift
@@ -11,6 +11,7 @@
   5: required i64 boot
   6: required i32 incarnation
   7: required MemberState state
+  8: optional i32 capacity
 }
 
 struct RevisionMark { 1: required i64 revision, 2: required string digest }
