Notice pauses, follow a clock that was set back, take in changed settings; play the fleet in memory

A process frozen or suspended looks at the store anew before it sends; a process whose time of day was set back takes over the boot mark that peers hold; SIGHUP and a changed file are read.

--- a/bergamotgate/gateway/desk.py
+++ b/bergamotgate/gateway/desk.py
@@ -9,6 +9,7 @@
 from bergamotgate.config.catalogue import Catalogue, Route
 from bergamotgate.metrics import Metrics
 from bergamotgate.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
+from bergamotgate.publication.items import ItemTable
 from bergamotgate.relay.messages import Answer, ClientRequest, Forwarded, Gathered, Refused
 from bergamotgate.relay.scatter import ScatterRun
 from bergamotgate.relay.single import SingleRun
@@ -17,6 +18,9 @@
 __all__ = ["QueryDesk"]
 
 NOT_READY_RETRY_S = 0.3
+# After a pause a request waits at most so long for news; then service goes before freshness.
+LONGEST_HOLD_S = 0.3
+HOLD_STEP_S = 0.01
 
 
 class QueryDesk:
@@ -30,14 +34,15 @@
     def __init__(
         self,
         catalogue: Callable[[], Catalogue | None],
-        catalogue_age_s: Callable[[], float],
+        items: ItemTable,
         tools: RelayTools,
         clock: Clock,
         rng: random.Random,
         metrics: Metrics,
     ):
         self._catalogue = catalogue
-        self._catalogue_age_s = catalogue_age_s
+        self._items = items
+        self._news_since: float | None = None
         self._tools = tools
         self._clock = clock
         self._rng = rng
@@ -45,8 +50,14 @@
         self.in_progress = 0
         self.draining = False
 
+    def await_news(self) -> None:
+        """Hold requests for a moment: this process slept, and what it believes may be old."""
+        self._news_since = self._clock.now()
+
     async def handle(self, request: ClientRequest) -> Answer:
         """Relay one request and return its answer."""
+        if self._news_since is not None:
+            await self._hold()
         catalogue = self._catalogue()
         if catalogue is None:
             answer = Refused(NotRun(NotRunReason.NO_CONFIGURATION), NOT_READY_RETRY_S)
@@ -61,6 +72,14 @@
         finally:
             self.in_progress -= 1
 
+    async def _hold(self) -> None:
+        """Wait until the view was confirmed after the pause, but not for long."""
+        since = self._news_since
+        until = since + LONGEST_HOLD_S
+        while self._items.confirmed_at < since and self._clock.now() < until:
+            await self._clock.sleep(HOLD_STEP_S)
+        self._news_since = None
+
     async def _relay(self, request: ClientRequest, catalogue: Catalogue, route: Route) -> Answer:
         run: ScatterRun | SingleRun
         if route.shards is not None:
@@ -95,7 +114,7 @@
             "id": request.attempt,
             "route": name,
             "version": catalogue.version if catalogue is not None else None,
-            "age_ms": _age_ms(self._catalogue_age_s()),
+            "age_ms": _age_ms(self._items.age_s()),
             "took_ms": milliseconds(took_s),
             "outcome": outcome,
         }
--- a/bergamotgate/gateway/node.py
+++ b/bergamotgate/gateway/node.py
@@ -1,6 +1,7 @@
 """One whole gateway process: its parts, their start, their drain and their end."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from loguru import logger
@@ -9,6 +10,7 @@
 from bergamotgate.gateway.beliefs import Beliefs, ItemDecoder
 from bergamotgate.gateway.desk import QueryDesk
 from bergamotgate.gateway.directory import ClientDirectory
+from bergamotgate.gateway.pauses import PauseWatch, suspended_s
 from bergamotgate.membership.confirmation import ViewConfirmation
 from bergamotgate.membership.members import Member, MemberState, MemberTable
 from bergamotgate.membership.prober import Prober
@@ -86,6 +88,7 @@
         clock: Time.
         rng: Randomness.
         boot: Start of the process, in milliseconds since 1970.
+        suspended_s: Seconds for which the machine was suspended.
     """
 
     source: ItemSource
@@ -95,6 +98,7 @@
     clock: Clock
     rng: random.Random
     boot: int
+    suspended_s: Callable[[], float] = suspended_s
 
 
 class GatewayNode:
@@ -111,7 +115,7 @@
         self._services = services
         clock = services.clock
         self.metrics = Metrics()
-        self.members = MemberTable(_own_member(settings, services.boot))
+        self.members = MemberTable(_own_member(settings, services.boot), follows_boot=True)
         self.port = PeerPort(settings.vm, services.boot, self.metrics)
         self.links = Links(settings.vm, services.boot, services.network, clock, self.metrics)
         self.prober = Prober(
@@ -126,7 +130,8 @@
         self._make_publication(clock)
         self._make_relay(clock)
         self._tasks = TaskGroup("gateway:")
-        self.members.on_change(lambda member: self._budgets.resize())
+        self._pauses = PauseWatch(clock, self._after_pause, services.suspended_s)
+        self.members.on_change(self._note_member)
 
     async def start(self) -> None:
         """Open the peers' address, join the fleet and follow the store.
@@ -141,6 +146,12 @@
         self._tasks.start(self._join())
         self.follower.start()
         self._tasks.start(self._expire())
+        self._tasks.start(self._pauses.run())
+
+    def use_settings(self, settings: GatewaySettings) -> None:
+        """Take in changed settings: seeds at once; addresses and names stay until a restart."""
+        self.prober.use_seeds(settings.seeds)
+        logger.bind(seeds=settings.seeds).info("gateway: The settings were read again.")
 
     def is_ready(self) -> bool:
         """Whether clients should be sent here."""
@@ -185,7 +196,7 @@
     def _make_relay(self, clock: Clock) -> None:
         services = self._services
         registry = self.beliefs.registry
-        servers = ServerBook(registry, clock, self.metrics)
+        self.servers = servers = ServerBook(registry, clock, self.metrics)
         cold = ColdAllowance(self.settings.vm, self._vm_names, clock)
         chooser = ServerChooser(
             self.settings.zone, registry, servers.load_of, cold, self._vm_count, clock, services.rng
@@ -197,7 +208,7 @@
         tools = RelayTools(sender, chooser, servers, self._budgets, LoopLag(), clock, self.metrics)
         self.desk = QueryDesk(
             lambda: self.beliefs.catalogue,
-            self.items.age_s,
+            self.items,
             tools,
             clock,
             services.rng,
@@ -219,6 +230,18 @@
             await self._services.clock.sleep(EXPIRE_EVERY_S)
             self.beliefs.registry.expire()
 
+    def _note_member(self, member: Member) -> None:
+        self._budgets.resize()
+        if member.vm != self.settings.vm:
+            fields = {"member": member.vm, "incarnation": member.incarnation, "boot": member.boot}
+            logger.bind(**fields).info("membership: VM is {}.", member.state.name.lower())
+
+    def _after_pause(self, paused_s: float) -> None:
+        """Look at the store anew before anything is sent, on connections made since."""
+        self.servers.close_idle()
+        self.follower.poll_soon()
+        self.desk.await_news()
+
     def _vm_names(self) -> list[str]:
         return [m.vm for m in self.members.all() if m.reachable]
 
--- a/bergamotgate/membership/members.py
+++ b/bergamotgate/membership/members.py
@@ -101,8 +101,17 @@
         version: Grows with each change.
     """
 
-    def __init__(self, own: Member):
+    def __init__(self, own: Member, follows_boot: bool = False):
+        """Start with the process itself.
+
+        Args:
+            own: The process itself.
+            follows_boot: Whether it takes over a later boot mark that is said of its VM. The time
+                of day may have been set back between an earlier process and this one, which would
+                otherwise stay unheard. Not for processes whose boot mark others hold on to.
+        """
         self._own_vm = own.vm
+        self._follows_boot = follows_boot
         self._member_by_vm: dict[str, Member] = {own.vm: own}
         self._listeners: list[Callable[[Member], None]] = []
         self.version = 0
@@ -159,9 +168,11 @@
 
     def _contradict(self, heard: Member) -> bool:
         own = self.own
-        if heard.boot != own.boot or heard.precedence <= own.precedence:
+        if heard.precedence <= own.precedence:
+            return False
+        if heard.boot != own.boot and not self._follows_boot:
             return False
-        self._store(replace(own, incarnation=heard.incarnation + 1))
+        self._store(replace(own, boot=heard.boot, incarnation=heard.incarnation + 1))
         return True
 
     def _store(self, member: Member) -> None:
--- a/bergamotgate/platform/daemon.py
+++ b/bergamotgate/platform/daemon.py
@@ -1,6 +1,7 @@
 """bergamotgate-gateway: the daemon for the platform, with the settings file that it lays."""
 
 import asyncio
+import contextlib
 import os
 import random
 import signal
@@ -27,6 +28,7 @@
 EXIT_ADDRESS = 3
 # The process ends this long before the platform would kill it.
 EXIT_MARGIN_S = 0.6
+LOOK_AT_FILE_EVERY_S = 2.0
 
 
 @click.command()
@@ -46,14 +48,14 @@
         sys.exit(EXIT_SETTINGS)
     set_up_decision_logs(settings.vm)
     try:
-        asyncio.run(run_gateway(settings, metrics_port))
+        asyncio.run(run_gateway(settings, path, metrics_port))
     except AddressInUse as error:
         click.echo(str(error), err=True)
         sys.exit(EXIT_ADDRESS)
 
 
-async def run_gateway(settings: GatewaySettings, metrics_port: int | None) -> None:
-    """Run until SIGTERM or SIGINT, then drain.
+async def run_gateway(settings: GatewaySettings, path: Path, metrics_port: int | None) -> None:
+    """Run until SIGTERM or SIGINT, then drain; SIGHUP and a changed file are taken in.
 
     Raises:
         AddressInUse: An address of the settings is taken.
@@ -77,7 +79,11 @@
         ingress.open_metrics(f"{host}:{metrics_port}")
     await node.start()
     logger.info("gateway: Serving clients at {}.", settings.front)
-    await stopped.wait()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, _read_again, node, path)
+    while not stopped.is_set():
+        await _changed_or_stopped(stopped, path, clock)
+        if not stopped.is_set():
+            _read_again(node, path)
     last = clock.now() + settings.grace_s - EXIT_MARGIN_S
     await node.leave()
     finished = await ingress.drain(last)
@@ -85,14 +91,40 @@
     await node.close()
 
 
+async def _changed_or_stopped(stopped: asyncio.Event, path: Path, clock: MonotonicClock) -> None:
+    """Wait for the end, or for a change of the settings file that no signal tells of."""
+    before = _changed_at(path)
+    while not stopped.is_set() and _changed_at(path) == before:
+        with contextlib.suppress(TimeoutError):
+            async with clock.timeout(LOOK_AT_FILE_EVERY_S):
+                await stopped.wait()
+
+
+def _changed_at(path: Path) -> int:
+    """Time of the file's last change in nanoseconds; 0 while it is being replaced."""
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        return 0
+
+
 def _stop_signal() -> asyncio.Event:
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: logger.info("gateway: SIGHUP came."))
     return stopped
 
 
+def _read_again(node: GatewayNode, path: Path) -> None:
+    """Take in the settings file after SIGHUP, or go on with the old ones and say why."""
+    try:
+        node.use_settings(load_site_settings(path))
+    except SettingsError as error:
+        logger.bind(problems=[str(p) for p in error.problems]).error(
+            "gateway: The changed settings are not used."
+        )
+
+
 if __name__ == "__main__":
     main()
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -78,7 +78,7 @@
         self.source = MemoryItemSource()
         self.nodes = [self._make(address) for address in zone_by_address]
 
-    def _make(self, peer: str) -> GatewayNode:
+    def _make(self, peer: str, boot_offset_ms: int = 0) -> GatewayNode:
         number = int(peer.split(".")[-1].split(":")[0])
         settings = GatewaySettings(
             vm=f"vm-{number}",
@@ -99,7 +99,8 @@
             network=self.network.seen_from(peer),
             clock=LoopClock(),
             rng=random.Random(number),
-            boot=BOOT_MS + number,
+            boot=BOOT_MS + number + boot_offset_ms,
+            suspended_s=lambda: 0.0,
         )
         return GatewayNode(settings, services)
 
@@ -109,6 +110,16 @@
             await node.start()
         await asyncio.sleep(settle_s)
 
+    async def restart(self, number: int, boot_offset_ms: int) -> GatewayNode:
+        """Kill one and start another in its place, with another time of day."""
+        old = self.nodes[number]
+        await old.close()
+        self.network.drop(old.settings.peer)
+        node = self._make(old.settings.peer, boot_offset_ms)
+        self.nodes[number] = node
+        await node.start()
+        return node
+
     async def close(self) -> None:
         """Stop all."""
         for node in self.nodes:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -11,7 +11,7 @@
 from bergamotgate.placement import ColdAllowance, ServerChooser
 from bergamotgate.platform.itemdecoder import PlatformItemDecoder
 from bergamotgate.platform.replicacodec import PlatformCodec
-from bergamotgate.publication import PublishedItem
+from bergamotgate.publication import ItemTable, PublishedItem
 from bergamotgate.relay.budgets import ExtraBudgets, ExtraRules
 from bergamotgate.relay.messages import ClientRequest, Forwarded, Gathered, Refused
 from bergamotgate.relay.sender import Sender
@@ -57,8 +57,9 @@
         )
         item = PublishedItem("op/config", 1, make_config(1, **config))
         self.catalogue = PlatformItemDecoder().decode(item)
+        self.items = ItemTable(self.clock)
         self.desk = QueryDesk(
-            lambda: self.catalogue, lambda: 0.0, self.tools, self.clock, rng, self.metrics
+            lambda: self.catalogue, self.items, self.tools, self.clock, rng, self.metrics
         )
         self.replicas: list[StandInReplica] = []
 
