Refuse a request that crashes servers; never ask more servers than a route allows

Cause: a shard whose two allowed servers had failed was asked at a third one, as the chooser ignored the list of former servers (seen with a request that crashes each server: 3 arrivals with maxAttempts 2). Change: a break counts against a request only if the server then takes no connection; strikes go to all VMs by the quarantine book. Tests: test_one_request_reaches_no_more_servers_than_its_route_allows and two on crashing requests.

--- a/bergamotgate/backend/pool.py
+++ b/bergamotgate/backend/pool.py
@@ -92,6 +92,15 @@
             exchange.task = loop.create_task(self._connect_and_start(exchange, request))
         return exchange
 
+    async def takes_connections(self) -> bool:
+        """Whether the server takes a new connection now; it is kept for the next request."""
+        try:
+            connection = await self._connect()
+        except (OSError, TimeoutError):
+            return False
+        self._idle.append(connection)
+        return True
+
     def close_idle(self) -> None:
         """Close connections on which nothing is asked."""
         idle, self._idle = self._idle, []
--- a/bergamotgate/gateway/node.py
+++ b/bergamotgate/gateway/node.py
@@ -26,7 +26,9 @@
     PublicationFollower,
     PublicationSpread,
 )
+from bergamotgate.quarantine import QuarantineBook
 from bergamotgate.relay.budgets import ExtraBudgets, ExtraRules
+from bergamotgate.relay.crashes import CrashWatch
 from bergamotgate.relay.messages import ServerCodec
 from bergamotgate.relay.sender import Sender
 from bergamotgate.relay.servers import ServerBook
@@ -167,6 +169,7 @@
     async def close(self) -> None:
         """Stop everything at once."""
         await self._tasks.close()
+        await self.crashes.close()
         await self.follower.close()
         await self.spread.close()
         await self.prober.close()
@@ -204,8 +207,12 @@
         self._budgets = ExtraBudgets(
             self.settings.extra, self._vm_count, clock, self.settings.first_start
         )
-        sender = Sender(servers, registry, services.codec, clock, self.metrics)
-        tools = RelayTools(sender, chooser, servers, self._budgets, LoopLag(), clock, self.metrics)
+        book = QuarantineBook(self.port, self._peer_addresses, clock, self.metrics)
+        self.crashes = CrashWatch(book, servers.takes_connections, clock)
+        sender = Sender(servers, registry, services.codec, self.crashes, clock, self.metrics)
+        tools = RelayTools(
+            sender, chooser, servers, self._budgets, self.crashes, LoopLag(), clock, self.metrics
+        )
         self.desk = QueryDesk(
             lambda: self.beliefs.catalogue,
             self.items,
@@ -242,6 +249,9 @@
         self.follower.poll_soon()
         self.desk.await_news()
 
+    def _peer_addresses(self) -> list[str]:
+        return [m.peer for m in self.members.others((MemberState.ALIVE, MemberState.SUSPECT))]
+
     def _vm_names(self) -> list[str]:
         return [m.vm for m in self.members.all() if m.reachable]
 
--- a/bergamotgate/placement/chooser.py
+++ b/bergamotgate/placement/chooser.py
@@ -80,7 +80,9 @@
         candidates = [
             server
             for server in self._registry.usable(rules.name)
-            if server.server not in tried and len(self._load_of(server.server).in_flight) < most
+            if server.server not in tried
+            and (among is None or server.server in among)
+            and len(self._load_of(server.server).in_flight) < most
         ]
         if len(candidates) < 2:
             return candidates
--- a/bergamotgate/relay/scatter.py
+++ b/bergamotgate/relay/scatter.py
@@ -37,6 +37,7 @@
 SWEEP_S = 0.008
 LATE_SWEEP_S = 0.040
 NO_SERVER_RETRY_S = 1.0
+QUARANTINED_RETRY_S = 30.0
 
 
 @dataclass(slots=True)
@@ -66,6 +67,7 @@
         self._catalogue = catalogue
         self._tools = tools
         self._shards = [_Shard(pool) for pool in route.shards.pools]
+        self._suspicion = tools.crashes.judge(request)
         self._latency = tools.servers.latency_of(route.name, route.objective_s)
         self._until = longest_until(request.arrived_at, request.patience_s, route)
         margin_s = OBJECTIVE_MARGIN_S + tools.lag.usual_s
@@ -79,12 +81,19 @@
 
     async def run(self) -> Answer:
         """Ask all shards and return the answer."""
+        if self._suspicion.refused:
+            return Refused(NotRun(NotRunReason.QUARANTINED), QUARANTINED_RETRY_S)
         if self._reachable_shards() < self._route.shards.least_parts:
             return Refused(NotRun(NotRunReason.NO_SERVER), NO_SERVER_RETRY_S)
         try:
-            for shard in self._shards:
-                self._send_first(shard)
-            await self._gather()
+            if self._suspicion.needs_canary:
+                self._send_first(self._shards[0])
+                await self._until_canary_is_back()
+            if not self._canary_failed():
+                for shard in self._shards:
+                    if not shard.tried:
+                        self._send_first(shard)
+                await self._gather()
         finally:
             self._cancel_all()
         return self._answer()
@@ -97,6 +106,16 @@
         """Names of the shards that are not in."""
         return [shard.pool for shard in self._shards if shard.reply is None]
 
+    async def _until_canary_is_back(self) -> None:
+        """Wait until the first shard has answered or broken off."""
+        canary = self._shards[0]
+        while canary.sendings and self._tools.clock.now() < self._until - DEADLINE_MARGIN_S:
+            at = self._until - DEADLINE_MARGIN_S
+            await self._wakeup.wait_until(at, self._tools.clock.now())
+
+    def _canary_failed(self) -> bool:
+        return self._suspicion.needs_canary and self._shards[0].reply is None
+
     async def _gather(self) -> None:
         """Wait for parts; hedge at each sweep; return when it is time to answer."""
         now = self._tools.clock.now()
@@ -144,6 +163,8 @@
                 continue
             if not shard.tried:
                 self._send_first(shard)
+            elif self._suspicion.suspected:
+                continue
             elif not shard.sendings:
                 self._send_again(shard)
             elif now - shard.sendings[-1].started_at >= hedge_after_s and self._send_extra(shard):
@@ -185,6 +206,7 @@
             self._route,
             server,
             self._until - DEADLINE_MARGIN_S,
+            self._suspicion,
             lambda sending, result: self._on_result(shard, sending, result),
         )
         shard.sendings.append(sending)
@@ -200,11 +222,14 @@
             return
         if result is SendFailure.NOT_SENT:
             shard.tried.remove(sending.server.server)
+        if self._suspicion.suspected:
+            self._wakeup.set()
+            return
         if not shard.sendings and self._tools.clock.now() < self._until - DEADLINE_MARGIN_S:
-            if shard.tried:
-                self._send_again(shard)
-            else:
+            if not shard.tried:
                 self._send_unsent(shard, sending)
+            elif result is not SendFailure.NOT_SENT:  # else the next sweep tries again
+                self._send_again(shard)
 
     def _send_unsent(self, shard: _Shard, failed: Sending) -> None:
         """Send a first sub-request to another server after a failed connect."""
@@ -217,7 +242,7 @@
         for sending in shard.sendings:
             sending.cancel()
         shard.sendings.clear()
-        if self._parts == len(self._shards):
+        if self._parts == len(self._shards) or self._suspicion.needs_canary:
             self._wakeup.set()
 
     def _cancel_all(self) -> None:
--- a/bergamotgate/relay/sender.py
+++ b/bergamotgate/relay/sender.py
@@ -13,6 +13,8 @@
 from bergamotgate.discovery.servers import DiscoveredServer
 from bergamotgate.metrics import Metrics
 from bergamotgate.placement.load import RouteLatency, ServerLoad
+from bergamotgate.quarantine import Suspicion
+from bergamotgate.relay.crashes import CrashWatch
 from bergamotgate.relay.messages import (
     ClientRequest,
     SendFailure,
@@ -50,6 +52,7 @@
         server: DiscoveredServer,
         load: ServerLoad,
         latency: RouteLatency,
+        suspicion: Suspicion,
         started_at: float,
     ):
         self.number = number
@@ -57,6 +60,7 @@
         self.server = server
         self.load = load
         self.latency = latency
+        self.suspicion = suspicion
         self.started_at = started_at
         self.exchange: Exchange | None = None
 
@@ -78,12 +82,14 @@
         servers: ServerBook,
         registry: ServerRegistry,
         codec: ServerCodec,
+        crashes: CrashWatch,
         clock: Clock,
         metrics: Metrics,
     ):
         self._servers = servers
         self._registry = registry
         self._codec = codec
+        self._crashes = crashes
         self._clock = clock
         self._metrics = metrics
         self._numbers = itertools.count(1)
@@ -94,6 +100,7 @@
         route: Route,
         server: DiscoveredServer,
         until: float,
+        suspicion: Suspicion,
         on_result: OnResult,
     ) -> Sending:
         """Send a request to a server and call back with the result, once.
@@ -103,12 +110,13 @@
             route: Its route.
             server: Where to.
             until: Time on the own clock at which the reply is no longer of use.
+            suspicion: What is held against the request.
             on_result: Gets the sending and its result; not called after it was cancelled.
         """
         now = self._clock.now()
         load = self._servers.load_of(server.server)
         latency = self._servers.latency_of(route.name, route.objective_s)
-        sending = Sending(next(self._numbers), request, server, load, latency, now)
+        sending = Sending(next(self._numbers), request, server, load, latency, suspicion, now)
         load.begin(sending.number)
         budget_s = max(LEAST_BUDGET_MS / 1000, until - now)
         data = self._codec.encode(request, server, milliseconds(budget_s))
@@ -128,6 +136,8 @@
             self._learn_reply(sending, result, took_s)
         else:
             sending.load.note_failure()
+            if result is SendFailure.DIED:
+                self._crashes.note_break(sending.request, sending.suspicion, sending.server)
             self._metrics.declined.labels(pool, result.value).inc()
             logger.debug(
                 "relay: {} at {} of {}: {}.",
--- a/bergamotgate/relay/servers.py
+++ b/bergamotgate/relay/servers.py
@@ -33,6 +33,11 @@
         """Connections to a registered server."""
         return self._connections_by_server[server]
 
+    async def takes_connections(self, server: DiscoveredServer) -> bool:
+        """Whether a server takes a new connection; not if its registration has ended."""
+        connections = self._connections_by_server.get(server.server)
+        return connections is not None and await connections.takes_connections()
+
     def latency_of(self, route: str, objective_s: float) -> RouteLatency:
         """Recent service times of a route."""
         latency = self._latency_by_route.get(route)
--- a/bergamotgate/relay/single.py
+++ b/bergamotgate/relay/single.py
@@ -22,6 +22,7 @@
 SWEEP_S = 0.05
 NO_SERVER_RETRY_S = 0.5
 FULL_RETRY_S = 0.2
+QUARANTINED_RETRY_S = 30.0
 
 UNKNOWN_BY_FAILURE = {
     SendFailure.DIED: UnknownReason.CONNECTION_DIED,
@@ -53,6 +54,7 @@
         self._pool = pool
         self._rules = rules_of(catalogue, pool)
         self._tools = tools
+        self._suspicion = tools.crashes.judge(request)
         self._latency = tools.servers.latency_of(route.name, route.objective_s)
         self._until = longest_until(request.arrived_at, request.patience_s, route)
         self._wakeup = Wakeup()
@@ -67,6 +69,8 @@
 
     async def run(self) -> Answer:
         """Send the request and return what came of it."""
+        if self._suspicion.refused:
+            return Refused(NotRun(NotRunReason.QUARANTINED), QUARANTINED_RETRY_S)
         try:
             self._send_next()
             hedge_at = self._request.arrived_at + self._hedge_after_s()
@@ -89,7 +93,7 @@
         return max(EARLIEST_HEDGE * self._route.objective_s, self._latency.late_s)
 
     def _hedge(self, now: float) -> None:
-        if not self._sendings or not self._route.idempotent:
+        if not self._sendings or not self._may_repeat():
             return
         if now - self._sendings[-1].started_at >= self._hedge_after_s() and self._send_extra():
             self.hedges += 1
@@ -125,7 +129,12 @@
             return False
         self.servers.append(server.server)
         sending = self._tools.sender.send(
-            self._request, self._route, server, self._until - DEADLINE_MARGIN_S, self._on_result
+            self._request,
+            self._route,
+            server,
+            self._until - DEADLINE_MARGIN_S,
+            self._suspicion,
+            self._on_result,
         )
         self._sendings.append(sending)
         return True
@@ -167,8 +176,11 @@
         if not self._sendings and self._tools.clock.now() < self._until - DEADLINE_MARGIN_S:
             self._send_next()
 
+    def _may_repeat(self) -> bool:
+        return self._route.idempotent and not self._suspicion.suspected
+
     def _retry_if_idempotent(self) -> None:
-        if self._route.idempotent:
+        if self._may_repeat():
             self._retry()
         elif not self._sendings:
             self._settle()
--- a/bergamotgate/relay/tools.py
+++ b/bergamotgate/relay/tools.py
@@ -9,6 +9,7 @@
 from bergamotgate.placement.chooser import ServerChooser
 from bergamotgate.placement.extra import PoolExtraBudget
 from bergamotgate.relay.budgets import ExtraBudgets
+from bergamotgate.relay.crashes import CrashWatch
 from bergamotgate.relay.sender import Sender
 from bergamotgate.relay.servers import ServerBook
 
@@ -30,6 +31,7 @@
     chooser: ServerChooser
     servers: ServerBook
     budgets: ExtraBudgets
+    crashes: CrashWatch
     lag: "LoopLag"
     clock: Clock
     metrics: Metrics
--- a/bergamotgate/standin/replica.py
+++ b/bergamotgate/standin/replica.py
@@ -6,6 +6,7 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
@@ -60,6 +61,7 @@
         fault: What it does with all further requests.
         arrivals: Requests that reached it.
         runs: Requests that it ran.
+        on_run: Called before each run.
         dropped: Requests whose connection closed while they ran.
     """
 
@@ -73,6 +75,7 @@
     dropped: int = 0
     connections: int = 0
     address: str = ""
+    on_run: Callable[["StandInReplica"], None] | None = None
 
     async def start(self) -> None:
         """Listen on a free port of the loopback."""
@@ -112,6 +115,8 @@
         if fault in refusal:
             writer.write(_head(refusal[fault], 0, "X-Not-Executed: 1\r\n"))
             return True
+        if self.on_run is not None:
+            self.on_run(self)
         if fault is Fault.CLOSE_BEFORE:
             return False
         self.runs += 1
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -12,12 +12,15 @@
 from bergamotgate.platform.itemdecoder import PlatformItemDecoder
 from bergamotgate.platform.replicacodec import PlatformCodec
 from bergamotgate.publication import ItemTable, PublishedItem
+from bergamotgate.quarantine import QuarantineBook
 from bergamotgate.relay.budgets import ExtraBudgets, ExtraRules
+from bergamotgate.relay.crashes import CrashWatch
 from bergamotgate.relay.messages import ClientRequest, Forwarded, Gathered, Refused
 from bergamotgate.relay.sender import Sender
 from bergamotgate.relay.servers import ServerBook
 from bergamotgate.relay.tools import LoopLag, RelayTools
 from bergamotgate.standin.replica import Fault, StandInReplica
+from bergamotgate.wire.port import PeerPort
 from tests.gateways import make_config, make_server
 from tests.support import cases, check, real
 
@@ -51,9 +54,14 @@
             "a", self.registry, self.servers.load_of, cold, lambda: 1, self.clock, rng
         )
         budgets = ExtraBudgets(ExtraRules(0.2, 50, 10.0), lambda: 1, self.clock, True)
-        sender = Sender(self.servers, self.registry, PlatformCodec(), self.clock, self.metrics)
+        port = PeerPort("vm", 1, self.metrics)
+        self.quarantine = QuarantineBook(port, lambda: [], self.clock, self.metrics)
+        crashes = CrashWatch(self.quarantine, self.servers.takes_connections, self.clock)
+        sender = Sender(
+            self.servers, self.registry, PlatformCodec(), crashes, self.clock, self.metrics
+        )
         self.tools = RelayTools(
-            sender, chooser, self.servers, budgets, LoopLag(), self.clock, self.metrics
+            sender, chooser, self.servers, budgets, crashes, LoopLag(), self.clock, self.metrics
         )
         item = PublishedItem("op/config", 1, make_config(1, **config))
         self.catalogue = PlatformItemDecoder().decode(item)
@@ -268,4 +276,55 @@
     await rig.close()
 
 
+@real
+async def test_a_request_that_crashes_servers_is_refused_before_it_takes_many():
+    rig = Rig(maxAttempts=2)
+    shards = await make_shards(rig, copies=3)
+    crashed = []
+
+    def crash(replica: StandInReplica) -> None:
+        crashed.append(replica.server)
+        asyncio.ensure_future(replica.close())
+
+    for replica in rig.replicas:
+        replica.fault = Fault.CLOSE_BEFORE
+        replica.on_run = crash
+    answers = []
+    for _ in range(6):
+        answers.append(await rig.ask("/s/poison", patience_s=0.5))
+        await asyncio.sleep(0.15)
+    check.assertEqual(NotRun(NotRunReason.QUARANTINED), answers[-1].outcome)
+    check.assertLessEqual(len(crashed), 2 * len(shards) + 1)
+    check.assertEqual(1, rig.quarantine.refused_count())
+    await rig.close()
+
+
+@real
+async def test_lost_answers_of_living_servers_condemn_no_request():
+    rig = Rig()
+    await make_shards(rig)
+    for replica in rig.replicas:
+        replica.faults = [Fault.RESET_AFTER_RUN] * 3
+    for _ in range(6):
+        await rig.ask("/s/q")
+        await asyncio.sleep(0.1)
+    check.assertEqual(0, rig.quarantine.refused_count())
+    answer = await rig.ask("/s/q")
+    check.assertEqual(0, answer.missing)
+    await rig.close()
+
+
+@real
+async def test_one_request_reaches_no_more_servers_than_its_route_allows():
+    for fault in WRONG:
+        rig = Rig(maxAttempts=2)
+        shards = await make_shards(rig, copies=4)
+        for replica in rig.replicas:
+            replica.fault = fault
+        await rig.ask("/s/q", patience_s=0.4)
+        for copies in shards:
+            check.assertLessEqual(sum(1 for r in copies if r.arrivals), 2, fault)
+        await rig.close()
+
+
 load_tests = cases(globals())
