--- a/bergamotgate/cli.py
+++ b/bergamotgate/cli.py
@@ -5,7 +5,7 @@
 import sys
 from dataclasses import asdict
 from pathlib import Path
-from typing import Any
+from typing import Any, TextIO
 
 import click
 
@@ -160,6 +160,34 @@
         sys.exit(EXIT_DIFFERENCES)
 
 
+@main.command(
+    "explain-request", epilog="Example: bergamotgate explain-request 9c41d07be2a35f68 vm-*.log"
+)
+@click.argument("request_id")
+@click.argument("logs", type=click.File(errors="replace"), nargs=-1, required=True)
+@as_json
+def explain_request(request_id: str, logs: tuple[TextIO, ...], json_wanted: bool) -> None:
+    """Tell from the LOGS of gateways what happened to the request REQUEST_ID, and why."""
+    story = porcelain.request_story(request_id, logs)
+    if not story:
+        click.echo(f"no line of request {request_id} in {len(logs)} logs", err=True)
+        sys.exit(EXIT_MISTAKES)
+    fields = {"request": request_id, "lines": [asdict(line) for line in story]}
+    _show(fields, "\n".join(map(str, story)), json_wanted)
+
+
+@main.command("check-site", epilog="Example: bergamotgate check-site settings.toml")
+@click.argument("settings_file", type=click.Path(path_type=Path, dir_okay=False))
+@as_json
+def check_site(settings_file: Path, json_wanted: bool) -> None:
+    """Check the settings file that a platform lays for a gateway; show every mistake at once."""
+    try:
+        settings = porcelain.check_site_settings(settings_file)
+    except ConfigurationError as error:
+        _fail(error, json_wanted)
+    _show(asdict(settings), _lines(asdict(settings)), json_wanted)
+
+
 def _tables(folder: Path, json_wanted: bool) -> Tables:
     try:
         return porcelain.check_tables(folder)
--- a/bergamotgate/porcelain.py
+++ b/bergamotgate/porcelain.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import json
+from collections.abc import Iterable
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, TextIO
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError
@@ -14,19 +15,24 @@
 from bergamotgate.config.reader import read_tables
 from bergamotgate.config.tables import Pool, Route, Tables
 from bergamotgate.errors import Problem, TablesRejected
+from bergamotgate.gateway.node import GatewaySettings
 from bergamotgate.membership.members import Member, MemberState, MemberTable
 from bergamotgate.ownership.directory import OwnerDirectory
+from bergamotgate.platform.sitesettings import load_site_settings
 from bergamotgate.platform.vmlist import VmList, read_vm_list
+from bergamotgate.stories import LogLine, read_log, story_of
 
 __all__ = [
     "Explanation",
     "FleetStatus",
     "TableChanges",
+    "check_site_settings",
     "check_tables",
     "explain_request",
     "fleet_status",
     "plan_change",
     "read_table_files",
+    "request_story",
     "usable_addresses",
     "send_query",
 ]
@@ -138,6 +144,20 @@
     )
 
 
+def request_story(request: str, logs: Iterable[TextIO]) -> list[LogLine]:
+    """What the logs of gateways tell of one request, in order of time; empty if nothing."""
+    return story_of(request, [line for log in logs for line in read_log(log)])
+
+
+def check_site_settings(path: Path) -> GatewaySettings:
+    """Read the settings file that a platform lays.
+
+    Raises:
+        SettingsError: With every mistake found.
+    """
+    return load_site_settings(path)
+
+
 def explain_request(tables: Tables, method: str, path: str) -> Explanation | None:
     """Where a request would go; None when no route matches."""
     route = tables.route_by_match.get((method, path))
--- a/bergamotgate/relay/scatter.py
+++ b/bergamotgate/relay/scatter.py
@@ -10,6 +10,7 @@
 
 from bergamotgate.config.catalogue import Catalogue, Route
 from bergamotgate.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
+from bergamotgate.relay.decisions import log_failure, log_hedge, log_no_budget, log_retry
 from bergamotgate.relay.messages import (
     Answer,
     ClientRequest,
@@ -48,6 +49,7 @@
     reply: ServerReply | None = None
     sendings: list[Sending] = field(default_factory=list)
     tried: list[str] = field(default_factory=list)
+    out_of_budget: bool = False
 
 
 class ScatterRun:
@@ -167,8 +169,14 @@
                 continue
             elif not shard.sendings:
                 self._send_again(shard)
-            elif now - shard.sendings[-1].started_at >= hedge_after_s and self._send_extra(shard):
-                self.hedges += 1
+            elif now - shard.sendings[-1].started_at >= hedge_after_s:
+                self._hedge(shard)
+
+    def _hedge(self, shard: _Shard) -> None:
+        late = shard.sendings[-1]
+        if self._send_extra(shard):
+            self.hedges += 1
+            log_hedge(self._request, late, shard.sendings[-1], self._latency.late_s)
 
     def _send_first(self, shard: _Shard) -> None:
         if self._send(shard, ()):
@@ -178,6 +186,7 @@
         """Ask another server after a failure, or a former one where there is no other."""
         if self._send_extra(shard) or self._send_extra(shard, shard.tried):
             self.retries += 1
+            log_retry(self._request, shard.sendings[-1], shard.tried)
 
     def _send_extra(self, shard: _Shard, among: Collection[str] | None = None) -> bool:
         """Send beyond the first: to a server not yet asked, or to one of those named."""
@@ -186,6 +195,9 @@
         budget = self._tools.budget(shard.pool)
         if not budget.take():
             self._tools.metrics.retries.labels(shard.pool, "no_budget").inc()
+            if not shard.out_of_budget:
+                shard.out_of_budget = True
+                log_no_budget(self._request, shard.pool)
             return False
         tried = shard.tried if among is None else ()
         if self._send(shard, tried, among):
@@ -220,6 +232,8 @@
         if isinstance(result, ServerReply) and result.success:
             self._take_part(shard, result)
             return
+        took_s = self._tools.clock.now() - sending.started_at
+        log_failure(self._request, sending, result, took_s)
         if result is SendFailure.NOT_SENT:
             shard.tried.remove(sending.server.server)
         if self._suspicion.suspected:
--- a/bergamotgate/relay/sender.py
+++ b/bergamotgate/relay/sender.py
@@ -3,8 +3,6 @@
 import itertools
 from collections.abc import Callable
 
-from loguru import logger
-
 from bergamotgate.backend.http1 import ExchangeEnd, RawReply
 from bergamotgate.backend.pool import Exchange
 from bergamotgate.clock import Clock, milliseconds
@@ -139,13 +137,6 @@
             if result is SendFailure.DIED:
                 self._crashes.note_break(sending.request, sending.suspicion, sending.server)
             self._metrics.declined.labels(pool, result.value).inc()
-            logger.debug(
-                "relay: {} at {} of {}: {}.",
-                sending.request.attempt,
-                sending.server.server,
-                pool,
-                result.value,
-            )
         on_result(sending, result)
 
     def _read(self, sending: Sending, end: RawReply | ExchangeEnd) -> SendResult:
--- a/bergamotgate/relay/single.py
+++ b/bergamotgate/relay/single.py
@@ -2,6 +2,7 @@
 
 from bergamotgate.config.catalogue import Catalogue, Route
 from bergamotgate.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
+from bergamotgate.relay.decisions import log_failure, log_hedge, log_no_budget, log_retry
 from bergamotgate.relay.messages import (
     Answer,
     ClientRequest,
@@ -95,8 +96,10 @@
     def _hedge(self, now: float) -> None:
         if not self._sendings or not self._may_repeat():
             return
-        if now - self._sendings[-1].started_at >= self._hedge_after_s() and self._send_extra():
+        late = self._sendings[-1]
+        if now - late.started_at >= self._hedge_after_s() and self._send_extra():
             self.hedges += 1
+            log_hedge(self._request, late, self._sendings[-1], self._latency.late_s)
 
     def _send_next(self) -> None:
         """Send to a server that was not tried, or settle the answer when there is none."""
@@ -106,7 +109,9 @@
                 self._tools.budget(self._pool).note_first()
         else:
             sent = self._send_extra()
-            self.retries += sent
+            if sent:
+                self.retries += 1
+                log_retry(self._request, self._sendings[-1], self.servers)
         if not sent and not self._sendings:
             self._settle()
 
@@ -116,6 +121,7 @@
         budget = self._tools.budget(self._pool)
         if not budget.take():
             self._tools.metrics.retries.labels(self._pool, "no_budget").inc()
+            log_no_budget(self._request, self._pool)
             return False
         if self._send():
             return True
@@ -143,6 +149,9 @@
         self._sendings.remove(sending)
         if self._answer is not None:
             return
+        if not isinstance(result, ServerReply) or not result.success:
+            took_s = self._tools.clock.now() - sending.started_at
+            log_failure(self._request, sending, result, took_s)
         if isinstance(result, ServerReply):
             self._on_reply(result)
         elif result.surely_not_run:
