--- a/bergamotgate/benchstate.py
+++ b/bergamotgate/benchstate.py
@@ -20,8 +20,8 @@
 from bergamotgate.config.reader import read_tables
 from bergamotgate.gather.replicas import ReplicaBook
 from bergamotgate.membership.members import Member, MemberState, MemberTable
+from bergamotgate.membership.vmlist import read_vm_list
 from bergamotgate.ownership.directory import OwnerDirectory
-from bergamotgate.platform.vmlist import read_vm_list
 from bergamotgate.standin.deployments import PoolSpec, build_deployment
 from bergamotgate.standin.virtual import run_virtual
 
--- a/bergamotgate/platform/http.py
+++ b/bergamotgate/config/http.py
@@ -6,8 +6,8 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError, HTTPRequest
 
+from bergamotgate.config.service import PublishedTables, PublishedVmList
 from bergamotgate.errors import PlatformUnavailable
-from bergamotgate.platform.service import PublishedTables, PublishedVmList
 
 __all__ = ["HttpConfigurationService", "HttpVmListService"]
 
--- a/bergamotgate/platform/memory.py
+++ b/bergamotgate/config/memory.py
@@ -4,8 +4,8 @@
 from typing import Generic, TypeVar
 
 from bergamotgate.clock import Clock, LoopClock
+from bergamotgate.config.service import PublishedTables, PublishedVmList
 from bergamotgate.errors import PlatformUnavailable
-from bergamotgate.platform.service import PublishedTables, PublishedVmList
 
 __all__ = ["MemoryConfigurationService", "MemoryVmListService"]
 
--- a/bergamotgate/daemon.py
+++ b/bergamotgate/daemon.py
@@ -11,11 +11,11 @@
 
 from bergamotgate.backend.curl import CurlConnector
 from bergamotgate.clock import LoopClock, wall_milliseconds
+from bergamotgate.config.http import HttpConfigurationService, HttpVmListService
 from bergamotgate.errors import AddressInUse, SettingsError
 from bergamotgate.front.http import FrontServer
 from bergamotgate.logs import set_up_logs
 from bergamotgate.node.node import Node, NodeServices
-from bergamotgate.platform.http import HttpConfigurationService, HttpVmListService
 from bergamotgate.settings import Settings, load_settings
 from bergamotgate.wire.network import SocketNetwork
 
--- a/bergamotgate/front/addresses.py
+++ b/bergamotgate/front/addresses.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 
 from bergamotgate.config.spread import TableStore
+from bergamotgate.membership.liststore import VmListStore
 from bergamotgate.membership.members import MemberState, MemberTable
-from bergamotgate.platform.liststore import VmListStore
-from bergamotgate.platform.vmlist import VmStanding
+from bergamotgate.membership.vmlist import VmStanding
 
 __all__ = ["Address", "AddressBook", "KEEP_S"]
 
--- a/bergamotgate/platform/liststore.py
+++ b/bergamotgate/membership/liststore.py
@@ -5,8 +5,8 @@
 from loguru import logger
 
 from bergamotgate.errors import VmListRejected
+from bergamotgate.membership.vmlist import VmList, read_vm_list
 from bergamotgate.metrics import Metrics
-from bergamotgate.platform.vmlist import VmList, read_vm_list
 
 __all__ = ["VmListStore"]
 
--- a/bergamotgate/membership/prober.py
+++ b/bergamotgate/membership/prober.py
@@ -9,8 +9,8 @@
 from bergamotgate.clock import Clock, TaskGroup
 from bergamotgate.membership.confirmation import ViewConfirmation
 from bergamotgate.membership.members import Member, MemberState, MemberTable
+from bergamotgate.membership.vmlist import VmList
 from bergamotgate.metrics import Metrics
-from bergamotgate.platform.vmlist import VmList
 from bergamotgate.wire.generated.ttypes import Ack, Datagram, MemberRecord, Ping, RevisionMark
 from bergamotgate.wire.network import Network, PeerLife
 from bergamotgate.wire.port import PeerPort
--- a/bergamotgate/node/catchup.py
+++ b/bergamotgate/node/catchup.py
@@ -5,7 +5,7 @@
 from bergamotgate.clock import TaskGroup
 from bergamotgate.config.spread import TableStore
 from bergamotgate.errors import LinkLost
-from bergamotgate.platform.liststore import VmListStore
+from bergamotgate.membership.liststore import VmListStore
 from bergamotgate.wire.codec import WIRE_VERSION
 from bergamotgate.wire.generated.ttypes import (
     Datagram,
--- a/bergamotgate/node/node.py
+++ b/bergamotgate/node/node.py
@@ -8,6 +8,8 @@
 from bergamotgate.admission.owner import Owner
 from bergamotgate.backend.connection import BackendConnector
 from bergamotgate.clock import Clock, TaskGroup
+from bergamotgate.config.follower import WATCHERS_PER_ZONE, Follower
+from bergamotgate.config.service import ConfigurationService, VmListService
 from bergamotgate.config.spread import TableStore
 from bergamotgate.config.tables import Tables
 from bergamotgate.front.addresses import AddressBook
@@ -17,8 +19,10 @@
 from bergamotgate.gather.replicas import ReplicaBook
 from bergamotgate.keeper.book import KeeperBook
 from bergamotgate.membership.confirmation import ViewConfirmation
+from bergamotgate.membership.liststore import VmListStore
 from bergamotgate.membership.members import Member, MemberState, MemberTable
 from bergamotgate.membership.prober import Prober
+from bergamotgate.membership.vmlist import VmList
 from bergamotgate.metrics import Metrics
 from bergamotgate.node.catchup import CatchUp
 from bergamotgate.node.peerserver import PeerServer
@@ -27,10 +31,6 @@
 from bergamotgate.ownership.lease import LeaseBook
 from bergamotgate.ownership.rendezvous import rank
 from bergamotgate.ownership.share import ShareKeeper
-from bergamotgate.platform.follower import WATCHERS_PER_ZONE, Follower
-from bergamotgate.platform.liststore import VmListStore
-from bergamotgate.platform.service import ConfigurationService, VmListService
-from bergamotgate.platform.vmlist import VmList
 from bergamotgate.quarantine.book import QuarantineBook
 from bergamotgate.settings import Settings
 from bergamotgate.wire.generated.ttypes import RevisionMark
--- a/bergamotgate/node/peerserver.py
+++ b/bergamotgate/node/peerserver.py
@@ -11,9 +11,9 @@
 from bergamotgate.clock import Clock, TaskGroup
 from bergamotgate.config.spread import TableStore
 from bergamotgate.errors import FrameError, LinkLost
+from bergamotgate.membership.liststore import VmListStore
 from bergamotgate.metrics import Metrics
 from bergamotgate.node.catchup import answer_frame
-from bergamotgate.platform.liststore import VmListStore
 from bergamotgate.wire.codec import WIRE_VERSION, decode_frame, encode
 from bergamotgate.wire.generated.ttypes import Frame, Hello, KeeperCall, KeeperReply, SubReply
 from bergamotgate.wire.network import FrameStream, Listener, Network
--- a/bergamotgate/ownership/directory.py
+++ b/bergamotgate/ownership/directory.py
@@ -12,8 +12,8 @@
 from bergamotgate.clock import Clock
 from bergamotgate.config.tables import Pool, Server, Tables
 from bergamotgate.membership.members import MemberTable
+from bergamotgate.membership.vmlist import VmList
 from bergamotgate.ownership.rendezvous import rank
-from bergamotgate.platform.vmlist import VmList
 
 __all__ = ["LONGEST_SETTLE_S", "OwnerDirectory", "Ranking", "ServerGroup"]
 
--- a/bergamotgate/porcelain.py
+++ b/bergamotgate/porcelain.py
@@ -17,9 +17,9 @@
 from bergamotgate.errors import Problem, TablesRejected
 from bergamotgate.gateway.node import GatewaySettings
 from bergamotgate.membership.members import Member, MemberState, MemberTable
+from bergamotgate.membership.vmlist import VmList, read_vm_list
 from bergamotgate.ownership.directory import OwnerDirectory
 from bergamotgate.platform.sitesettings import load_site_settings
-from bergamotgate.platform.vmlist import VmList, read_vm_list
 from bergamotgate.stories import LogLine, read_log, story_of
 
 __all__ = [
--- a/bergamotgate/standin/fleet.py
+++ b/bergamotgate/standin/fleet.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass
 
 from bergamotgate.clock import LoopClock
+from bergamotgate.config.memory import MemoryConfigurationService, MemoryVmListService
+from bergamotgate.config.service import PublishedTables, PublishedVmList
 from bergamotgate.front.answers import CallerAnswer
 from bergamotgate.front.desk import CallerRequest
 from bergamotgate.node.node import Node, NodeServices
-from bergamotgate.platform.memory import MemoryConfigurationService, MemoryVmListService
-from bergamotgate.platform.service import PublishedTables, PublishedVmList
 from bergamotgate.settings import Settings
 from bergamotgate.standin.connections import MemoryConnector
 from bergamotgate.standin.deployments import Deployment
--- a/bergamotgate/standin/naive.py
+++ b/bergamotgate/standin/naive.py
@@ -7,13 +7,13 @@
 from bergamotgate.backend.connection import BackendConnection, BackendRequest
 from bergamotgate.clock import Clock
 from bergamotgate.config.reader import read_tables
+from bergamotgate.config.service import PublishedTables
 from bergamotgate.config.tables import Pool, Snapshot
 from bergamotgate.errors import ExchangeError
 from bergamotgate.front.answers import CallerAnswer, render
 from bergamotgate.front.desk import CallerRequest
 from bergamotgate.gather.answer import MissingShard, QueryAnswer
 from bergamotgate.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
-from bergamotgate.platform.service import PublishedTables
 from bergamotgate.standin.connections import MemoryConnector
 
 __all__ = ["NaiveDesk"]
--- a/examples/embed.py
+++ b/examples/embed.py
@@ -7,9 +7,9 @@
 
 from bergamotgate import ExtraBudget, KeeperBook, LoopClock, Node, NodeServices, Settings, rank
 from bergamotgate.backend import CurlConnector
+from bergamotgate.config.memory import MemoryConfigurationService, MemoryVmListService
+from bergamotgate.config.service import PublishedTables, PublishedVmList
 from bergamotgate.keeper import read_key
-from bergamotgate.platform import MemoryConfigurationService, MemoryVmListService
-from bergamotgate.platform.service import PublishedTables, PublishedVmList
 from bergamotgate.wire.network import SocketNetwork
 
 TABLES = Path(__file__).parent / "spokewise"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,11 +4,12 @@
 import json
 
 from bergamotgate.config import Canary
+from bergamotgate.config.memory import MemoryVmListService
+from bergamotgate.config.service import PublishedVmList
 from bergamotgate.errors import PlatformUnavailable, VmListRejected
+from bergamotgate.membership.liststore import VmListStore
+from bergamotgate.membership.vmlist import read_vm_list
 from bergamotgate.metrics import Metrics
-from bergamotgate.platform import MemoryVmListService, read_vm_list
-from bergamotgate.platform.liststore import VmListStore
-from bergamotgate.platform.service import PublishedVmList
 from bergamotgate.standin.fleet import Fleet
 from tests.support import cases, check, make_deployment, virtual
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -15,6 +15,8 @@
 from bergamotgate.caller import Caller
 from bergamotgate.clock import LoopClock, TaskGroup
 from bergamotgate.config import Pool, Server, Snapshot, Standing
+from bergamotgate.config.memory import MemoryConfigurationService, MemoryVmListService
+from bergamotgate.config.service import PublishedTables, PublishedVmList
 from bergamotgate.errors import (
     ConnectionDied,
     ConnectionRefused,
@@ -26,8 +28,6 @@
 from bergamotgate.metrics import Metrics
 from bergamotgate.node import Node, NodeServices
 from bergamotgate.ownership import Share
-from bergamotgate.platform import MemoryConfigurationService, MemoryVmListService
-from bergamotgate.platform.service import PublishedTables, PublishedVmList
 from bergamotgate.settings import Settings
 from bergamotgate.standin.http import BackendHttp
 from bergamotgate.standin.server import ServerLimits, StandinServer
