--- a/bergamotgate/discovery/registry.py
+++ b/bergamotgate/discovery/registry.py
@@ -61,6 +61,13 @@
             if server.standing is ServerStanding.READY and server.zone not in self.zones_out
         ]
 
+    def has_usable(self, pool: str) -> bool:
+        """Whether any server of a pool takes new work."""
+        return any(
+            server.standing is ServerStanding.READY and server.zone not in self.zones_out
+            for server in self._servers_by_pool.get(pool, {}).values()
+        )
+
     def zones_of(self, pool: str) -> list[str]:
         """The zone of each server of a pool that takes new work."""
         return [server.zone for server in self.usable(pool)]
--- a/bergamotgate/gateway/directory.py
+++ b/bergamotgate/gateway/directory.py
@@ -21,7 +21,7 @@
 LEAST_ZONE_SHARE = 0.5
 # The largest VMs that hold this share of a zone's processor time serve its clients: a query over
 # many shards is faster on a larger VM, and fewer VMs learn more of each server.
-LARGEST_SHARE = 0.5
+LARGEST_SHARE = 0.25
 
 
 class ClientDirectory:
--- a/bergamotgate/placement/chooser.py
+++ b/bergamotgate/placement/chooser.py
@@ -67,7 +67,7 @@
 
     def has_servers(self, pool: str) -> bool:
         """Whether any server of a pool takes new work."""
-        return bool(self._registry.usable(pool))
+        return self._registry.has_usable(pool)
 
     def _ranked(
         self,
@@ -86,19 +86,21 @@
         ]
         if len(candidates) < 2:
             return candidates
-        # Shuffled first, so that VMs do not agree on the order of equals.
-        self._rng.shuffle(candidates)
-        candidates.sort(key=lambda server: self._cost_s(server, latency))
+        # Begins anywhere, so that VMs do not agree on the order of equals.
+        start = self._rng.randrange(len(candidates))
+        candidates = candidates[start:] + candidates[:start]
+        now = self._clock.now()
+        candidates.sort(key=lambda server: self._cost_s(server, latency, now))
         return candidates
 
-    def _cost_s(self, server: DiscoveredServer, latency: RouteLatency) -> float:
+    def _cost_s(self, server: DiscoveredServer, latency: RouteLatency, now: float) -> float:
         load = self._load_of(server.server)
-        cost_s = load.expected_s(latency.median_s)
+        cost_s = load.expected_s(latency.median_s, now)
         if self._registry.cold_left_s(server.server) > 0:
             cost_s *= COLD_SLOWNESS
         if server.zone != self._zone:
             cost_s += OTHER_ZONE_COST_S
-        if load.avoided():
+        if load.avoided(now):
             cost_s += AVOIDED_COST_S
         return cost_s
 
--- a/bergamotgate/placement/load.py
+++ b/bergamotgate/placement/load.py
@@ -86,9 +86,12 @@
     @property
     def slowness(self) -> float:
         """Service time relative to the route's median; old observations fade to 1."""
+        return self._slowness_at(self._clock.now())
+
+    def _slowness_at(self, now: float) -> float:
         if self._slowness == 1.0:
             return 1.0
-        age = self._clock.now() - self._learned_at
+        age = now - self._learned_at
         return 1.0 + (self._slowness - 1.0) * math.pow(0.5, age / FORGET_HALF_LIFE_S)
 
     def begin(self, attempt: object) -> None:
@@ -130,24 +133,20 @@
         """Avoid a server that is full for a moment."""
         self._avoid_until = max(self._avoid_until, self._clock.now() + AVOID_FIRST_S / 5)
 
-    def avoided(self) -> bool:
+    def avoided(self, now: float) -> bool:
         """Whether other servers should be tried first; after a failure one request tries it."""
-        if self._clock.now() < self._avoid_until:
+        if now < self._avoid_until:
             return True
         return self.failures > 0 and bool(self.in_flight)
 
-    def oldest_age_s(self) -> float:
-        """Age of the oldest request that is under way; 0 without any."""
-        if not self.in_flight:
-            return 0.0
-        return self._clock.now() - next(iter(self.in_flight.values()))
-
-    def expected_s(self, median_s: float) -> float:
+    def expected_s(self, median_s: float, now: float) -> float:
         """Time that a further request is expected to take."""
-        usual_s = median_s * self.slowness
+        usual_s = median_s * self._slowness_at(now)
+        if not self.in_flight:
+            return usual_s
         waiting = max(0, len(self.in_flight) + 1 - self._slots)
         expected_s = usual_s * (1 + waiting / self._slots)
-        age_s = self.oldest_age_s()
+        age_s = now - next(iter(self.in_flight.values()))
         # A server whose request is overdue stands still, for as long again as far as is known.
         return expected_s + age_s if age_s > 3 * usual_s else expected_s
 
--- a/bergamotgate/platform/ingress.py
+++ b/bergamotgate/platform/ingress.py
@@ -22,16 +22,12 @@
 
 __all__ = ["Ingress"]
 
-DROPPED_HEADERS = frozenset(
+CONNECTION_HEADERS = frozenset(
+    {"connection", "keep-alive", "transfer-encoding", "content-length", "te", "trailer", "upgrade"}
+)
+DROPPED_HEADERS = CONNECTION_HEADERS | frozenset(
     {
-        "connection",
-        "keep-alive",
         "proxy-connection",
-        "transfer-encoding",
-        "content-length",
-        "te",
-        "trailer",
-        "upgrade",
         "expect",
         "host",
         names.ATTEMPT_ID.lower(),
@@ -210,7 +206,8 @@
     headers = HTTPHeaders()
     if isinstance(answer, Forwarded):
         for name, value in answer.reply.headers:
-            headers.add(name, value)
+            if name not in CONNECTION_HEADERS:
+                headers.add(name, value)
         return answer.reply.status, headers, answer.reply.body
     if isinstance(answer, Gathered):
         headers.add(names.PART_STAMPS, ", ".join(answer.digests))
--- a/bergamotgate/platform/replicacodec.py
+++ b/bergamotgate/platform/replicacodec.py
@@ -8,46 +8,63 @@
 __all__ = ["PlatformCodec"]
 
 MISDIRECTED = 421
-CONNECTION_HEADERS = frozenset(
-    {"connection", "keep-alive", "transfer-encoding", "content-length", "te", "trailer", "upgrade"}
-)
+METHODS_WITH_BODY = ("POST", "PUT", "PATCH")
+# Names as the connection hands them on, in lower case.
+ATTEMPT_ID = names.ATTEMPT_ID.lower()
+SERVER_STAMP = names.SERVER_STAMP.lower()
+NOT_EXECUTED = names.NOT_EXECUTED.lower()
 
 
 class PlatformCodec:
-    """The platform's HTTP towards backend servers."""
+    """The platform's HTTP towards backend servers.
+
+    A query over many shards writes nearly the same request to all; what they share is written once.
+    """
+
+    def __init__(self) -> None:
+        self._request: ClientRequest | None = None
+        self._shared = b""
 
     def encode(self, request: ClientRequest, server: DiscoveredServer, budget_ms: int) -> bytes:
         """The whole request for one server."""
-        lines = [
-            f"{request.method} {request.target} HTTP/1.1",
-            f"Host: {request.host}",
-            f"{names.ATTEMPT_ID}: {request.attempt}",
-            f"{names.DEADLINE_MS}: {budget_ms}",
-            f"{names.TARGET_INSTANCE}: {server.server}",
-        ]
-        lines.extend(f"{name}: {value}" for name, value in request.headers)
-        if request.body or request.method in ("POST", "PUT", "PATCH"):
-            lines.append(f"Content-Length: {len(request.body)}")
-        head = "\r\n".join(lines) + "\r\n\r\n"
-        return head.encode("latin-1") + request.body
+        if request is not self._request:
+            self._request = request
+            self._shared = _shared_head(request)
+        own = (
+            f"{names.DEADLINE_MS}: {budget_ms}\r\n{names.TARGET_INSTANCE}: {server.server}\r\n\r\n"
+        )
+        return b"".join((self._shared, own.encode("latin-1"), request.body))
 
     def decode(self, request: ClientRequest, raw: RawReply) -> ServerReply | WrongReplyReason:
         """The reply, or why it does not belong to the request."""
         header_by_name = dict(raw.headers)
-        echoed = header_by_name.get(names.ATTEMPT_ID.lower())
+        echoed = header_by_name.get(ATTEMPT_ID)
         if echoed is not None and echoed != request.attempt:
             return WrongReplyReason.OTHER_ATTEMPT
         if header_by_name.get("content-encoding", "identity") != "identity":
             return WrongReplyReason.ENCODED
-        digest = header_by_name.get(names.SERVER_STAMP.lower())
-        not_run = names.NOT_EXECUTED.lower() in header_by_name or raw.status == MISDIRECTED
+        digest = header_by_name.get(SERVER_STAMP)
+        not_run = NOT_EXECUTED in header_by_name or raw.status == MISDIRECTED
         if 200 <= raw.status < 300 and digest is None:
             return WrongReplyReason.UNSIGNED
         return ServerReply(
             status=raw.status,
-            headers=tuple(h for h in raw.headers if h[0] not in CONNECTION_HEADERS),
+            headers=raw.headers,
             body=raw.body,
             digest=digest,
             not_run=not_run,
             misdirected=raw.status == MISDIRECTED,
         )
+
+
+def _shared_head(request: ClientRequest) -> bytes:
+    """The head of a request without what differs from server to server."""
+    lines = [
+        f"{request.method} {request.target} HTTP/1.1",
+        f"Host: {request.host}",
+        f"{names.ATTEMPT_ID}: {request.attempt}",
+    ]
+    lines.extend(f"{name}: {value}" for name, value in request.headers)
+    if request.body or request.method in METHODS_WITH_BODY:
+        lines.append(f"Content-Length: {len(request.body)}")
+    return ("\r\n".join(lines) + "\r\n").encode("latin-1")
--- a/bergamotgate/relay/messages.py
+++ b/bergamotgate/relay/messages.py
@@ -55,7 +55,7 @@
 
     Attributes:
         status: Status code.
-        headers: End-to-end headers.
+        headers: All headers, names in lower case.
         body: Whole body.
         digest: The server's signature of the reply; None without one.
         not_run: The server's own word that it did not run the request.
--- a/bergamotgate/relay/sender.py
+++ b/bergamotgate/relay/sender.py
@@ -3,6 +3,8 @@
 import itertools
 from collections.abc import Callable
 
+from prometheus_client import Histogram
+
 from bergamotgate.backend.http1 import ExchangeEnd, RawReply
 from bergamotgate.backend.pool import Exchange
 from bergamotgate.clock import Clock, milliseconds
@@ -91,6 +93,7 @@
         self._clock = clock
         self._metrics = metrics
         self._numbers = itertools.count(1)
+        self._latency_by_pool: dict[str, Histogram] = {}
 
     def send(
         self,
@@ -139,6 +142,13 @@
             self._metrics.declined.labels(pool, result.value).inc()
         on_result(sending, result)
 
+    def _observe(self, pool: str, took_s: float) -> None:
+        histogram = self._latency_by_pool.get(pool)
+        if histogram is None:
+            histogram = self._metrics.pool_latency.labels(pool)
+            self._latency_by_pool[pool] = histogram
+        histogram.observe(took_s)
+
     def _read(self, sending: Sending, end: RawReply | ExchangeEnd) -> SendResult:
         if not isinstance(end, RawReply):
             return FAILURE_BY_END[end]
@@ -159,7 +169,7 @@
         elif reply.success:
             load.note_reply(took_s, sending.latency.median_s)
             sending.latency.record(took_s)
-            self._metrics.pool_latency.labels(sending.server.pool).observe(took_s)
+            self._observe(sending.server.pool, took_s)
         else:
             load.note_failure()
             self._metrics.declined.labels(sending.server.pool, "server_error").inc()
--- a/bergamotgate/standin/replica.py
+++ b/bergamotgate/standin/replica.py
@@ -61,6 +61,7 @@
         fault: What it does with all further requests.
         arrivals: Requests that reached it.
         runs: Requests that it ran.
+        ran: Their identifiers.
         on_run: Called before each run.
         dropped: Requests whose connection closed while they ran.
     """
@@ -72,6 +73,7 @@
     fault: Fault = Fault.NONE
     arrivals: list[Arrival] = field(default_factory=list)
     runs: int = 0
+    ran: list[str] = field(default_factory=list)
     dropped: int = 0
     connections: int = 0
     address: str = ""
@@ -120,6 +122,7 @@
         if fault is Fault.CLOSE_BEFORE:
             return False
         self.runs += 1
+        self.ran.append(arrival.headers.get("x-attempt-id", ""))
         if self.work_s and await self._left_during_work(reader):
             self.dropped += 1
             return False
@@ -129,8 +132,10 @@
         work = asyncio.ensure_future(asyncio.sleep(self.work_s))
         left = asyncio.ensure_future(reader.read(1))
         await asyncio.wait({work, left}, return_when=asyncio.FIRST_COMPLETED)
+        done_in_time = work.done()
         left.cancel()
-        return not work.done()
+        await asyncio.gather(left, return_exceptions=True)
+        return not done_in_time
 
     async def _reply(self, writer: asyncio.StreamWriter, arrival: Arrival, fault: Fault) -> bool:
         attempt = arrival.headers.get("x-attempt-id", "")
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from bergamotgate.clock import LoopClock
+from bergamotgate.clock import MonotonicClock
 from bergamotgate.discovery import ServerRegistry
 from bergamotgate.gateway.desk import QueryDesk
 from bergamotgate.metrics import Metrics
@@ -44,7 +44,7 @@
     """A desk and the servers that it relays to."""
 
     def __init__(self, **config):
-        self.clock = LoopClock()
+        self.clock = MonotonicClock()
         self.metrics = Metrics()
         self.registry = ServerRegistry(self.clock)
         self.servers = ServerBook(self.registry, self.clock, self.metrics)
