--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,89 @@
+"""Structured logs: bounded, never waiting, and enough to tell a request's story."""
+
+import json
+import os
+
+from click.testing import CliRunner
+from loguru import logger
+
+from bergamotgate import cli
+from bergamotgate.logs import LINES_AT_ONCE, BoundedLineWriter
+from bergamotgate.stories import read_log, story_of
+from tests.support import cases, check
+
+
+def write_lines(count: int, descriptor: int) -> BoundedLineWriter:
+    writer = BoundedLineWriter(descriptor, "vm-1")
+    handler = logger.add(writer.write, level="INFO", format="{message}", catch=False)
+    logger.enable("tests")
+    for number in range(count):
+        logger.bind(id=f"r{number}").info("gateway: Request answered.")
+    logger.remove(handler)
+    return writer
+
+
+def test_a_line_is_one_json_object_with_the_inputs_of_a_decision():
+    reading, writing = os.pipe()
+    write_lines(1, writing)
+    line = json.loads(os.read(reading, 4096))
+    check.assertEqual(("vm-1", "r0"), (line["vm"], line["id"]))
+    check.assertEqual("gateway: Request answered.", line["message"])
+    os.close(reading)
+    os.close(writing)
+
+
+def test_a_flood_of_lines_is_cut_and_counted():
+    sink = os.open(os.devnull, os.O_WRONLY)
+    writer = write_lines(int(LINES_AT_ONCE) * 3, sink)
+    check.assertGreater(writer.dropped, LINES_AT_ONCE)
+    os.close(sink)
+
+
+def test_a_reader_that_stands_still_blocks_nothing():
+    reading, writing = os.pipe()
+    os.set_blocking(writing, False)
+    logger.enable("tests")
+    writer = BoundedLineWriter(writing, "vm-1")
+    handler = logger.add(writer.write, level="INFO", format="{message}", catch=False)
+    for _ in range(300):
+        logger.bind(id="r", padding="p" * 1000).info("gateway: Request answered.")
+    logger.remove(handler)
+    check.assertGreater(writer.dropped, 0)
+    os.set_blocking(reading, False)
+    held = os.read(reading, 1 << 20)
+    for line in held.split(b"\n")[:-1]:
+        json.loads(line)
+    os.close(reading)
+    os.close(writing)
+
+
+LOG = [
+    '{"at": 10.0, "vm": "vm-1", "message": "config: New.", "version": 7}',
+    '  3.2 vm-1 {"at": 11.0, "vm": "vm-1", "message": "relay: Sub-request hedged.", "id": "r1"}',
+    '{"at": 11.2, "vm": "vm-1", "message": "gateway: Answered.", "id": "r1", "took_ms": 300}',
+    '{"at": 11.1, "vm": "vm-2", "message": "config: A new configuration is in force."}',
+    '{"at": 11.1, "vm": "vm-1", "message": "gateway: Request answered.", "id": "r2"}',
+    "a line that is no record",
+    '{"at": 2.0, "vm": "vm-1", "message": "config: New.", "version": 6}',
+]
+
+
+def test_a_story_holds_the_request_and_what_its_vm_came_to_believe_before():
+    story = story_of("r1", read_log(LOG))
+    check.assertEqual([10.0, 11.0, 11.2], [line.at for line in story])
+    check.assertEqual([], story_of("r9", read_log(LOG)))
+
+
+def test_the_command_tells_a_story_or_says_that_there_is_none():
+    runner = CliRunner()
+    with runner.isolated_filesystem():
+        with open("vm-1.log", "w") as log:
+            log.write("\n".join(LOG))
+        told = runner.invoke(cli.main, ["explain-request", "r1", "vm-1.log"])
+        check.assertEqual(0, told.exit_code, told.output)
+        check.assertIn("relay: Sub-request hedged.", told.output)
+        none = runner.invoke(cli.main, ["explain-request", "r9", "vm-1.log"])
+        check.assertEqual(cli.EXIT_MISTAKES, none.exit_code)
+
+
+load_tests = cases(globals())
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,153 @@
+"""The adapter: what the store, the operator and the settings file say, good and bad."""
+
+import json
+import tomllib
+from pathlib import Path
+
+from bergamotgate.config.catalogue import Catalogue
+from bergamotgate.discovery import DiscoveredServer
+from bergamotgate.errors import PlatformUnavailable, SettingsError
+from bergamotgate.gateway.beliefs import ServerGone, Unreadable, ZoneOut
+from bergamotgate.platform.itemdecoder import PlatformItemDecoder
+from bergamotgate.platform.sitesettings import read_site_settings
+from bergamotgate.platform.store import PlatformStore
+from bergamotgate.publication import HistoryLost, PublishedItem
+from bergamotgate.standin.store import StandInStore, StoreFault
+from tests.gateways import make_config, make_server
+from tests.support import cases, check, real
+
+ROOT = Path(__file__).resolve().parents[1]
+SETTINGS = """
+nodeName = "frontend-a-1"
+zone = "a"
+seedNodes = ["10.1.0.9:8106"]
+bootstrap = true
+someNewField = "ignored"
+[listenAddrs]
+front = "10.1.0.9:8104"
+ready = "10.1.0.9:8108"
+control = "10.1.0.9:8106"
+directory = "10.1.0.9:8100"
+[limits]
+cpuShare = 0.5
+cpuCores = 2
+[bounds]
+gracePeriodS = 6
+retryBudgetRatio = 0.2
+budgetSlack = 52
+budgetWindowS = 10
+[platform]
+address = "10.200.1.7:8102"
+"""
+
+
+def decode(key: str, value: bytes | None):
+    return PlatformItemDecoder().decode(PublishedItem(key, 5, value))
+
+
+def test_a_registration_is_decoded_once_into_our_own_terms():
+    server = decode("servers/i-1", make_server("p", "10.1.1.1:80", "b", coldRemainingMs=40))
+    check.assertEqual(
+        ("i-1", "p", "b", 40), (server.server, server.pool, server.zone, server.cold_ms)
+    )
+    check.assertIsInstance(decode("servers/i-1", None), ServerGone)
+    check.assertEqual(ZoneOut("b", True), decode("op/evacuate/b", b"{}"))
+    check.assertEqual(ZoneOut("b", False), decode("op/evacuate/b", None))
+
+
+def test_a_foreign_or_damaged_registration_names_no_server():
+    bad = [
+        b"\xff\xfe not json",
+        b"[1, 2]",
+        make_server("p", "somewhere"),
+        make_server("p", "10.1.1.1:80", state="resting"),
+        make_server("p", "10.1.1.1:80", slots="two"),
+        make_server("p", "10.1.1.1:80", slots=True),
+        make_server("p", "10.1.1.1:80", slots=0),
+        make_server("p", "10.1.1.1:80", service=7),
+        make_server("p", "10.1.1.1:80", coldRemainingMs=None),
+    ]
+    for value in bad:
+        decoded = decode("servers/i-9", value)
+        check.assertIsInstance(decoded, Unreadable, value)
+        check.assertEqual("i-9", decoded.server)
+
+
+def test_a_damaged_configuration_is_named_and_not_used():
+    good = json.loads(make_config(3))
+    for name, value in (("routes", 5), ("version", "7"), ("services", [{"name": 1}])):
+        decoded = decode("op/config", json.dumps(good | {name: value}).encode())
+        check.assertIsInstance(decoded, Unreadable, name)
+    check.assertIsInstance(decode("op/config", make_config(3)), Catalogue)
+
+
+def test_the_longest_prefix_of_a_host_selects_the_route():
+    config = json.loads(make_config(3))
+    inner = dict(config["routes"][1], name="inner", prefix="/s/inner/", service="desk")
+    config["routes"].append(inner)
+    catalogue = decode("op/config", json.dumps(config).encode())
+    check.assertEqual("inner", catalogue.find_route("X.example", "/s/inner/1").name)
+    check.assertEqual("search", catalogue.find_route("x.example", "/s/inner").name)
+    check.assertIsNone(catalogue.find_route("x.example", "/sx/"))
+    check.assertIsNone(catalogue.find_route("y.example", "/s/1"))
+
+
+def test_settings_are_read_and_every_mistake_is_shown_at_once():
+    settings = read_site_settings(SETTINGS, "settings.toml")
+    check.assertEqual(
+        ("frontend-a-1", 6.0, 100), (settings.vm, settings.grace_s, settings.capacity)
+    )
+    check.assertTrue(settings.first_start)
+    bad = SETTINGS.replace('"10.1.0.9:8104"', '"nowhere"').replace("budgetSlack = 52", "")
+    with check.assertRaises(SettingsError) as caught:
+        read_site_settings(bad, "settings.toml")
+    places = {problem.place for problem in caught.exception.problems}
+    check.assertEqual({"listenAddrs.front", "bounds.budgetSlack"}, places)
+    with check.assertRaises(SettingsError):
+        read_site_settings("= no toml", "settings.toml")
+
+
+def test_the_deploy_file_names_a_program_that_is_there():
+    deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    for role in deploy["roles"].values():
+        module = role["run"].split()[2].replace(".", "/")
+        check.assertTrue((ROOT / f"{module}.py").exists(), module)
+
+
+@real
+async def test_the_store_is_read_page_by_page_and_watched():
+    stand_in = StandInStore()
+    stand_in.start()
+    for number in range(120):
+        stand_in.source.publish(f"servers/i-{number}", make_server("p", f"10.1.0.{number}:80"))
+    store = PlatformStore(stand_in.address)
+    whole = await store.read_all(newest=True)
+    check.assertEqual(120, len(whole.items))
+    stand_in.source.publish("servers/i-5", None)
+    news = await store.changes(whole.as_of, 0.5)
+    check.assertEqual([("servers/i-5", None)], [(item.key, item.value) for item in news.items])
+    check.assertIsInstance(decode("servers/i-7", whole.items[0].value), DiscoveredServer)
+    await stand_in.close()
+
+
+@real
+async def test_each_failure_of_the_store_is_typed():
+    stand_in = StandInStore()
+    stand_in.start()
+    store = PlatformStore(stand_in.address)
+    for fault in (StoreFault.BUSY, StoreFault.TOO_MANY, StoreFault.GARBAGE, StoreFault.SILENT):
+        stand_in.fault = fault
+        with check.assertRaises(PlatformUnavailable, msg=fault):
+            await store.changes(1, 0.1)
+    stand_in.fault = StoreFault.NONE
+    stand_in.source.publish("op/config", make_config(1))
+    stand_in.source.forget_history()
+    with check.assertRaises(HistoryLost):
+        await store.changes(0, 0.1)
+    address = stand_in.address
+    await stand_in.close()
+    with check.assertRaises(PlatformUnavailable):
+        await PlatformStore(address).read_all(newest=False)
+
+
+load_tests = cases(globals())
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,68 @@
+"""One seed of the soak with real processes, and its checks on answers that break promises."""
+
+import asyncio
+import tempfile
+from pathlib import Path
+
+from bergamotgate.standin.replica import StandInReplica
+from bergamotgate.standin.soak import Soak
+from bergamotgate.standin.soakcaller import Call, check_calls
+from tests.support import cases, check
+
+SEED = 7
+FAULTS_S = 4.0
+
+
+def make_replicas() -> list[StandInReplica]:
+    return [StandInReplica(f"i-{n}", body=n.to_bytes(16, "big")) for n in range(3)]
+
+
+def make_search(**fields) -> Call:
+    replicas = make_replicas()
+    body = b"".join(replica.body for replica in reversed(replicas))
+    call = {
+        "attempt": "a",
+        "booking": False,
+        "status": 200,
+        "digests": ("i-0.a", "i-1.a", "i-2.a"),
+        "missing": 1,
+        "body": body,
+    }
+    return Call(**(call | fields))
+
+
+def test_a_true_answer_breaks_no_promise():
+    check.assertEqual([], check_calls([make_search()], make_replicas(), 4))
+
+
+def test_each_check_sees_its_own_fault():
+    faults = (
+        make_search(missing=0),
+        make_search(digests=("i-0.a", "i-0.a", "i-2.a")),
+        make_search(digests=("i-0.b", "i-1.a", "i-2.a")),
+        make_search(body=b"x" * 48),
+    )
+    for call in faults:
+        check.assertTrue(check_calls([call], make_replicas(), 4), call)
+
+
+def test_a_booking_that_ran_twice_or_after_a_refusal_is_seen():
+    for status, ran in ((502, ["a", "a"]), (503, ["a"]), (429, ["a"])):
+        replicas = make_replicas()
+        replicas[0].ran = ran
+        call = Call("a", True, status)
+        check.assertTrue(check_calls([call], replicas, 4), status)
+    replicas = make_replicas()
+    replicas[0].ran = ["nobody"]
+    check.assertTrue(check_calls([], replicas, 4))
+
+
+def test_a_short_soak_keeps_every_promise():
+    with tempfile.TemporaryDirectory() as folder:
+        soak = Soak(SEED, FAULTS_S, Path(folder))
+        asyncio.run(soak.run())
+        check.assertEqual([], soak.broken)
+        check.assertGreater(soak.counts["search_200"], 0)
+
+
+load_tests = cases(globals())
