--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON = .venv/bin/python
 
-.PHONY: test demo bench check generate
+.PHONY: test demo bench soak check generate
 
 .venv/.ready: requirements.txt requirements-dev.txt pyproject.toml
 	python3 -m venv .venv
@@ -17,6 +17,9 @@
 bench: .venv/.ready
 	$(PYTHON) -m bergamotgate.bench
 
+soak: .venv/.ready
+	$(PYTHON) -m bergamotgate.standin.soak --seeds 50
+
 check: .venv/.ready
 	$(PYTHON) -m black --check --quiet .
 	$(PYTHON) -m ruff check --quiet .
