--- a/bergamotgate/backend/http1.py
+++ b/bergamotgate/backend/http1.py
@@ -64,9 +64,8 @@
         reusable_until: Time on the loop's clock until which it may take another request.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, on_closed: Callable[[], None]):
+    def __init__(self, loop: asyncio.AbstractEventLoop):
         self._loop = loop
-        self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
         self._on_end: OnEnd | None = None
         self._parser: httptools.HttpResponseParser | None = None
@@ -206,7 +205,6 @@
         self.closed = True
         if self._transport is not None:
             self._transport.abort()
-        self._on_closed()
 
 
 def _keep_alive_s(reply: RawReply) -> float:
--- a/bergamotgate/backend/pool.py
+++ b/bergamotgate/backend/pool.py
@@ -70,7 +70,6 @@
         self._pool = pool
         self._metrics = metrics
         self._idle: list[Http1Connection] = []
-        self.open_count = 0
         self._closed = False
 
     def send(self, request: bytes, timeout_s: float, fresh: bool, on_end: OnEnd) -> Exchange:
@@ -138,15 +137,10 @@
     async def _connect(self) -> Http1Connection:
         loop = asyncio.get_running_loop()
         host, port = split_address(self._address)
-        self.open_count += 1
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                transport, connection = await loop.create_connection(
-                    lambda: Http1Connection(loop, self._note_closed), host, port
-                )
-        except BaseException:
-            self.open_count -= 1
-            raise
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            transport, connection = await loop.create_connection(
+                lambda: Http1Connection(loop), host, port
+            )
         self._metrics.connections.labels(self._pool, "opened").inc()
         own_socket = transport.get_extra_info("socket")
         with contextlib.suppress(OSError):
@@ -167,6 +161,3 @@
             exchange.finish(result)
 
         connection.exchange(request, ended)
-
-    def _note_closed(self) -> None:
-        self.open_count -= 1
--- a/bergamotgate/config/fields.py
+++ b/bergamotgate/config/fields.py
@@ -93,6 +93,10 @@
     return type(value) in (int, float) and 0 <= value <= 1
 
 
+def _is_number(value: Any) -> bool:
+    return type(value) in (int, float) and 0 <= value < float("inf")
+
+
 def _is_flag(value: Any) -> bool:
     return type(value) is bool
 
@@ -146,6 +150,19 @@
         """An ``ip:port``."""
         return self._take(name, None, "ip:port with a numeric IP", is_address, "")
 
+    def addresses(self, name: str, default: tuple[str, ...] | None = None) -> tuple[str, ...]:
+        """A list of ``ip:port``; each wrong one is a mistake."""
+        addresses = self.names(name, default)
+        for number, address in enumerate(addresses):
+            if not is_address(address):
+                place = f"{self._at(name)}[{number}]"
+                self.problems.add(place, "ip:port with a numeric IP", address)
+        return addresses
+
+    def number(self, name: str) -> float:
+        """A number that is not negative."""
+        return float(self._take(name, None, "a number of 0 or more", _is_number, 0.0))
+
     def choice(self, name: str, kind: type[Choice], default: Choice | None = None) -> Choice:
         """One word of an enumeration."""
         words = [str(member) for member in kind]
--- a/bergamotgate/daemon.py
+++ b/bergamotgate/daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import signal
 import sys
 from pathlib import Path
 
@@ -17,6 +16,7 @@
 from bergamotgate.logs import set_up_logs
 from bergamotgate.node.node import Node, NodeServices
 from bergamotgate.settings import Settings, load_settings
+from bergamotgate.signals import stop_event
 from bergamotgate.wire.network import SocketNetwork
 
 __all__ = ["main", "run_daemon"]
@@ -71,16 +71,8 @@
     front.open(settings.http)
     await node.start()
     logger.info("node: Serving callers at {}.", settings.http)
-    await _stop_signal()
+    await stop_event().wait()
     finished = await node.drain(settings.drain_s)
     logger.info("node: Drained {}.", "whole" if finished else "in part")
     await front.close()
     await node.close()
-
-
-async def _stop_signal() -> None:
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    await stopped.wait()
--- a/bergamotgate/discovery/registry.py
+++ b/bergamotgate/discovery/registry.py
@@ -125,12 +125,6 @@
             if lapsed_at < oldest:
                 self._remove(self._server_by_id[server])
 
-    def keep_only(self, servers: set[str], lapse_possible: bool) -> None:
-        """Withdraw every server that a whole reading of the store does not name."""
-        for server in list(self._server_by_id):
-            if server not in servers and server not in self._lapsed_at_by_id:
-                self.withdraw(server, lapse_possible)
-
     def _remove(self, server: DiscoveredServer) -> None:
         self._server_by_id.pop(server.server, None)
         self._servers_by_pool.get(server.pool, {}).pop(server.server, None)
--- a/bergamotgate/gateway/node.py
+++ b/bergamotgate/gateway/node.py
@@ -129,6 +129,8 @@
             ViewConfirmation(clock),
             self.metrics,
         )
+        self._names: list[str] = []
+        self._names_as_of = -1
         self._make_publication(clock)
         self._make_relay(clock)
         self._tasks = TaskGroup("gateway:")
@@ -201,6 +203,7 @@
         registry = self.beliefs.registry
         self.servers = servers = ServerBook(registry, clock, self.metrics)
         cold = ColdAllowance(self.settings.vm, self._vm_names, clock)
+        registry.on_end(lambda server: cold.forget(server.server))
         chooser = ServerChooser(
             self.settings.zone, registry, servers.load_of, cold, self._vm_count, clock, services.rng
         )
@@ -209,7 +212,7 @@
         )
         book = QuarantineBook(self.port, self._peer_addresses, clock, self.metrics)
         self.crashes = CrashWatch(book, servers.takes_connections, clock)
-        sender = Sender(servers, registry, services.codec, self.crashes, clock, self.metrics)
+        sender = Sender(servers, services.codec, self.crashes, clock, self.metrics)
         tools = RelayTools(
             sender, chooser, servers, self._budgets, self.crashes, LoopLag(), clock, self.metrics
         )
@@ -250,10 +253,14 @@
         self.desk.await_news()
 
     def _peer_addresses(self) -> list[str]:
-        return [m.peer for m in self.members.others((MemberState.ALIVE, MemberState.SUSPECT))]
+        return [m.peer for m in self.members.reachable_others()]
 
     def _vm_names(self) -> list[str]:
-        return [m.vm for m in self.members.all() if m.reachable]
+        """Reachable VMs, this one among them; asked for with each sub-request."""
+        if self._names_as_of != self.members.version:
+            self._names_as_of = self.members.version
+            self._names = [m.vm for m in self.members.all() if m.reachable]
+        return self._names
 
     def _vm_count(self) -> int:
         return len(self._vm_names())
--- a/bergamotgate/membership/members.py
+++ b/bergamotgate/membership/members.py
@@ -140,6 +140,10 @@
             m for m in self._member_by_vm.values() if m.state in wanted and m.vm != self._own_vm
         ]
 
+    def reachable_others(self) -> list[Member]:
+        """Members other than the process itself to which work may be sent."""
+        return self.others((MemberState.ALIVE, MemberState.SUSPECT))
+
     def reachable(self, vm: str) -> bool:
         """Whether work may be sent to a VM."""
         member = self._member_by_vm.get(vm)
--- a/bergamotgate/membership/prober.py
+++ b/bergamotgate/membership/prober.py
@@ -110,7 +110,7 @@
         """Tell everybody that this process has left."""
         self._members.leave()
         record = self._members.own.record()
-        for member in self._members.others((MemberState.ALIVE, MemberState.SUSPECT)):
+        for member in self._members.reachable_others():
             self._port.send(member.peer, members=[record])
 
     def spread_marks(self) -> None:
@@ -143,7 +143,7 @@
             member = self._members.get(self._order.pop())
             if member is not None and member.reachable:
                 return member
-        reachable = self._members.others((MemberState.ALIVE, MemberState.SUSPECT))
+        reachable = self._members.reachable_others()
         self._order = [member.vm for member in reachable]
         self._rng.shuffle(self._order)
         return self._members.get(self._order.pop()) if self._order else None
@@ -316,9 +316,7 @@
             self._port.send(address, members=records[start : start + RECORDS_PER_DATAGRAM])
 
     def _changed(self, member: Member) -> None:
-        self._metrics.members_alive.set(
-            1 + len(self._members.others((MemberState.ALIVE, MemberState.SUSPECT)))
-        )
+        self._metrics.members_alive.set(1 + len(self._members.reachable_others()))
         if member.state is MemberState.SUSPECT:
             self._tasks.start(self._suspicion(member))
         record = member.record()
--- a/bergamotgate/node/node.py
+++ b/bergamotgate/node/node.py
@@ -280,7 +280,7 @@
         logger.info("node: Joined with revision {}.", self.tables.revision)
 
     def _peer_addresses(self) -> list[str]:
-        return [m.peer for m in self.members.others((MemberState.ALIVE, MemberState.SUSPECT))]
+        return [m.peer for m in self.members.reachable_others()]
 
     def _settle_s(self, pool: str) -> float:
         """Time after which no sub-request of a previous owner can still run."""
--- a/bergamotgate/platform/daemon.py
+++ b/bergamotgate/platform/daemon.py
@@ -20,6 +20,7 @@
 from bergamotgate.platform.replicacodec import PlatformCodec
 from bergamotgate.platform.sitesettings import SETTINGS_VARIABLE, load_site_settings
 from bergamotgate.platform.store import PlatformStore
+from bergamotgate.signals import stop_event
 from bergamotgate.wire.network import SocketNetwork
 
 __all__ = ["main", "run_gateway"]
@@ -72,7 +73,7 @@
     )
     node = GatewayNode(settings, services)
     ingress = Ingress(node, clock)
-    stopped = _stop_signal()
+    stopped = stop_event()
     ingress.open()
     if metrics_port is not None:
         host = settings.front.rpartition(":")[0]
@@ -108,14 +109,6 @@
         return 0
 
 
-def _stop_signal() -> asyncio.Event:
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    return stopped
-
-
 def _read_again(node: GatewayNode, path: Path) -> None:
     """Take in the settings file after SIGHUP, or go on with the old ones and say why."""
     try:
--- a/bergamotgate/platform/store.py
+++ b/bergamotgate/platform/store.py
@@ -5,7 +5,6 @@
 import json
 from typing import Any
 
-import pycurl
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPResponse
 from tornado.httputil import url_concat
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
@@ -82,7 +81,7 @@
                 request_timeout=timeout_s,
                 decompress_response=False,
             )
-        except (HTTPClientError, OSError, pycurl.error) as error:
+        except (HTTPClientError, OSError) as error:
             raise PlatformUnavailable(SERVICE, error) from error
         return _object(answer)
 
--- a/bergamotgate/publication/audience.py
+++ b/bergamotgate/publication/audience.py
@@ -1,6 +1,6 @@
 """Which peers are told of news: the own zone, and relays of the others."""
 
-from bergamotgate.membership.members import Member, MemberState, MemberTable
+from bergamotgate.membership.members import Member, MemberTable
 from bergamotgate.ownership.rendezvous import rank
 
 __all__ = ["Audience", "RELAYS_PER_ZONE"]
@@ -18,7 +18,7 @@
     def of_poll(self) -> list[str]:
         """Whom a VM tells that polled the store: its zone, and the relays of other zones."""
         own_zone = self._members.own.zone
-        member_by_vm = {m.vm: m for m in self._others()}
+        member_by_vm = {m.vm: m for m in self._members.reachable_others()}
         zones = {member.zone for member in member_by_vm.values()} - {own_zone}
         relays = [member_by_vm[vm] for zone in sorted(zones) for vm in self._relays(zone)]
         return [member.peer for member in [*self._in_own_zone(), *relays]]
@@ -42,7 +42,4 @@
         return rank(f"relay/{zone}", in_zone)[:RELAYS_PER_ZONE]
 
     def _in_own_zone(self) -> list[Member]:
-        return [m for m in self._others() if m.zone == self._members.own.zone]
-
-    def _others(self) -> list[Member]:
-        return self._members.others((MemberState.ALIVE, MemberState.SUSPECT))
+        return [m for m in self._members.reachable_others() if m.zone == self._members.own.zone]
--- a/bergamotgate/relay/scatter.py
+++ b/bergamotgate/relay/scatter.py
@@ -22,14 +22,19 @@
 )
 from bergamotgate.relay.records import GreatestRecords
 from bergamotgate.relay.sender import Sending
-from bergamotgate.relay.tools import RelayTools, Wakeup, longest_until, rules_of
+from bergamotgate.relay.tools import (
+    DEADLINE_MARGIN_S,
+    QUARANTINED_RETRY_S,
+    RelayTools,
+    Wakeup,
+    longest_until,
+    rules_of,
+)
 
 __all__ = ["ScatterRun"]
 
 # The answer leaves this long before the objective: for connecting and the ways there and back.
 OBJECTIVE_MARGIN_S = 0.008
-# The final answer leaves this long before the client gives up.
-DEADLINE_MARGIN_S = 0.030
 # Past the objective a whole answer is awaited for as long again, then a partial one is good.
 LATE_PATIENCE = 2.0
 # Bounds of the time to the first hedge, as parts of the objective.
@@ -38,7 +43,6 @@
 SWEEP_S = 0.008
 LATE_SWEEP_S = 0.040
 NO_SERVER_RETRY_S = 1.0
-QUARANTINED_RETRY_S = 30.0
 
 
 @dataclass(slots=True)
@@ -100,10 +104,6 @@
             self._cancel_all()
         return self._answer()
 
-    def coverage(self) -> float:
-        """Share of shards that are in."""
-        return self._parts / len(self._shards)
-
     def missing_pools(self) -> list[str]:
         """Names of the shards that are not in."""
         return [shard.pool for shard in self._shards if shard.reply is None]
@@ -192,18 +192,17 @@
         """Send beyond the first: to a server not yet asked, or to one of those named."""
         if among is None and len(set(shard.tried)) >= self._route.max_servers:
             return False
-        budget = self._tools.budget(shard.pool)
-        if not budget.take():
-            self._tools.metrics.retries.labels(shard.pool, "no_budget").inc()
-            if not shard.out_of_budget:
-                shard.out_of_budget = True
-                log_no_budget(self._request, shard.pool)
-            return False
         tried = shard.tried if among is None else ()
-        if self._send(shard, tried, among):
-            return True
-        budget.give_back()
-        return False
+        return self._tools.send_extra(
+            shard.pool,
+            lambda: self._send(shard, tried, among),
+            lambda: self._note_no_budget(shard),
+        )
+
+    def _note_no_budget(self, shard: _Shard) -> None:
+        if not shard.out_of_budget:
+            shard.out_of_budget = True
+            log_no_budget(self._request, shard.pool)
 
     def _send(
         self, shard: _Shard, tried: Collection[str], among: Collection[str] | None = None
--- a/bergamotgate/relay/sender.py
+++ b/bergamotgate/relay/sender.py
@@ -9,7 +9,6 @@
 from bergamotgate.backend.pool import Exchange
 from bergamotgate.clock import Clock, milliseconds
 from bergamotgate.config.catalogue import Route
-from bergamotgate.discovery.registry import ServerRegistry
 from bergamotgate.discovery.servers import DiscoveredServer
 from bergamotgate.metrics import Metrics
 from bergamotgate.placement.load import RouteLatency, ServerLoad
@@ -80,14 +79,12 @@
     def __init__(
         self,
         servers: ServerBook,
-        registry: ServerRegistry,
         codec: ServerCodec,
         crashes: CrashWatch,
         clock: Clock,
         metrics: Metrics,
     ):
         self._servers = servers
-        self._registry = registry
         self._codec = codec
         self._crashes = crashes
         self._clock = clock
--- a/bergamotgate/relay/single.py
+++ b/bergamotgate/relay/single.py
@@ -13,17 +13,22 @@
     ServerReply,
 )
 from bergamotgate.relay.sender import Sending
-from bergamotgate.relay.tools import RelayTools, Wakeup, longest_until, rules_of
+from bergamotgate.relay.tools import (
+    DEADLINE_MARGIN_S,
+    QUARANTINED_RETRY_S,
+    RelayTools,
+    Wakeup,
+    longest_until,
+    rules_of,
+)
 
 __all__ = ["SingleRun"]
 
-DEADLINE_MARGIN_S = 0.030
 # A hedge goes out after this part of the objective, or later if replies usually take longer.
 EARLIEST_HEDGE = 0.5
 SWEEP_S = 0.05
 NO_SERVER_RETRY_S = 0.5
 FULL_RETRY_S = 0.2
-QUARANTINED_RETRY_S = 30.0
 
 UNKNOWN_BY_FAILURE = {
     SendFailure.DIED: UnknownReason.CONNECTION_DIED,
@@ -118,15 +123,9 @@
     def _send_extra(self) -> bool:
         if len(set(self.servers)) >= self._route.max_servers:
             return False
-        budget = self._tools.budget(self._pool)
-        if not budget.take():
-            self._tools.metrics.retries.labels(self._pool, "no_budget").inc()
-            log_no_budget(self._request, self._pool)
-            return False
-        if self._send():
-            return True
-        budget.give_back()
-        return False
+        return self._tools.send_extra(
+            self._pool, self._send, lambda: log_no_budget(self._request, self._pool)
+        )
 
     def _send(self) -> bool:
         tried = [*self.servers, *self._unreachable]
--- a/bergamotgate/relay/tools.py
+++ b/bergamotgate/relay/tools.py
@@ -1,6 +1,7 @@
 """What every relayed request works with."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from bergamotgate.clock import Clock
@@ -13,7 +14,20 @@
 from bergamotgate.relay.sender import Sender
 from bergamotgate.relay.servers import ServerBook
 
-__all__ = ["LoopLag", "RelayTools", "Wakeup", "longest_until", "rules_of"]
+__all__ = [
+    "DEADLINE_MARGIN_S",
+    "QUARANTINED_RETRY_S",
+    "LoopLag",
+    "RelayTools",
+    "Wakeup",
+    "longest_until",
+    "rules_of",
+]
+
+# The final answer leaves this long before the client gives up.
+DEADLINE_MARGIN_S = 0.030
+# A request that lost servers is refused for longer than a caller waits.
+QUARANTINED_RETRY_S = 30.0
 
 # A pool that no configuration describes is used with these rules.
 UNDESCRIBED_CONNECTIONS = 16
@@ -40,6 +54,23 @@
         """The extra budget of a pool."""
         return self.budgets.of(pool)
 
+    def send_extra(
+        self, pool: str, send: Callable[[], bool], on_no_budget: Callable[[], None]
+    ) -> bool:
+        """Send beyond the first sub-request if the pool's budget allows it; return whether it was.
+
+        A right that was taken is given back when there was no server to send to.
+        """
+        budget = self.budget(pool)
+        if not budget.take():
+            self.metrics.retries.labels(pool, "no_budget").inc()
+            on_no_budget()
+            return False
+        if send():
+            return True
+        budget.give_back()
+        return False
+
 
 def rules_of(catalogue: Catalogue, pool: str) -> PoolRules:
     """Rules of a pool, with careful ones where the catalogue has none."""
--- a/bergamotgate/settings.py
+++ b/bergamotgate/settings.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from pathlib import Path
 
-from bergamotgate.config.fields import Fields, Problems, is_address, parse_json
+from bergamotgate.config.fields import Fields, Problems, parse_json
 from bergamotgate.errors import SettingsError
 
 __all__ = ["LogFormat", "LogLevel", "Settings", "load_settings", "read_settings"]
@@ -97,7 +97,7 @@
         http=top.address("http"),
         configuration_url=_url(platform, "configuration_url"),
         vm_list_url=_url(platform, "vm_list_url"),
-        seeds=_seeds(top),
+        seeds=top.addresses("seeds", ()),
         drain_s=top.whole("drain_s", 0, MAX_DRAIN_S, DEFAULT_DRAIN_S),
         log_format=log.choice("format", LogFormat, LogFormat.TEXT),
         log_level=log.choice("level", LogLevel, LogLevel.INFO),
@@ -116,11 +116,3 @@
     if url and not url.startswith(("http://", "https://")):
         fields.problems.add(f"{fields.place}.{name}", "a URL with http:// or https://", url)
     return url
-
-
-def _seeds(top: Fields) -> tuple[str, ...]:
-    seeds = top.names("seeds", ())
-    for number, seed in enumerate(seeds):
-        if not is_address(seed):
-            top.problems.add(f"seeds[{number}]", "ip:port with a numeric IP", seed)
-    return seeds
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -57,9 +57,7 @@
         port = PeerPort("vm", 1, self.metrics)
         self.quarantine = QuarantineBook(port, lambda: [], self.clock, self.metrics)
         crashes = CrashWatch(self.quarantine, self.servers.takes_connections, self.clock)
-        sender = Sender(
-            self.servers, self.registry, PlatformCodec(), crashes, self.clock, self.metrics
-        )
+        sender = Sender(self.servers, PlatformCodec(), crashes, self.clock, self.metrics)
         self.tools = RelayTools(
             sender, chooser, self.servers, budgets, crashes, LoopLag(), self.clock, self.metrics
         )
