Keep the slot of a run that was given up until its server can have noticed

Cause: an owner that gives a run up (a hedge lost, the time is over) closes the connection and counted the slot as free in the same instant. The stand-in in memory hid it, because it ended the run at once. Change: the stand-in notices a closed connection one way and 10 ms later, and an owner keeps the slot for 50 ms more.

--- a/bergamotgate/admission/server.py
+++ b/bergamotgate/admission/server.py
@@ -29,6 +29,9 @@
 LINGER_CLOSED_S = 0.25
 LINGER_SLOW_S = 1.0
 LINGER_SILENT_S = 30.0
+# A run that is given up keeps its slot so long: the server sees the closed connection later than
+# the next request may reach it. Several turns of a busy server's event loop.
+SLOT_LINGER_S = 0.05
 SILENT_FACTOR = 4.0
 WORTH_SHARE = 0.8
 CONNECT_REST_S = 0.1
@@ -40,6 +43,8 @@
     NotRunWord.SNAPSHOT_MISSING: Reason.SNAPSHOT_MISSING,
     NotRunWord.EXPIRED: Reason.EXPIRED_IN_QUEUE,
 }
+# Outcomes after which the server may still be at work on the request.
+GIVEN_UP_REASONS = (Reason.CANCELLED_RUNNING, Reason.TIMED_OUT)
 SHEDDING_WORDS = (NotRunWord.SHED, NotRunWord.DRAINING)
 
 
@@ -203,9 +208,11 @@
         connection = job.connection
         try:
             result = await self._exchange(job, connection)
+            job.finish(result)
+            if result.reason in GIVEN_UP_REASONS:
+                await self._clock.sleep(SLOT_LINGER_S)
         finally:
             self.running -= 1
-        job.finish(result)
         self.pump()
 
     async def _exchange(self, job: Job, connection: BackendConnection) -> JobResult:
--- a/bergamotgate/standin/connections.py
+++ b/bergamotgate/standin/connections.py
@@ -13,6 +13,8 @@
 __all__ = ["MemoryConnection", "MemoryConnector"]
 
 SERVER_KEEPS_SILENT_S = 20.0
+# A server's process sees a closed connection later than the first packet that tells of it.
+SERVER_NOTICES_CLOSE_S = 0.01
 
 
 @dataclass(frozen=True)
@@ -93,20 +95,18 @@
             return
         self._closed.set()
         self._connector.open_connections.discard(self)
-        if self._work is not None:
-            self._work.cancel()
         if self._incarnation is None:
             return
-        if self._passes():
-            self._server.connection_closed(self._incarnation)
-        else:
-            loop = asyncio.get_running_loop()
-            loop.call_later(
-                SERVER_KEEPS_SILENT_S,
-                self._server.connection_closed,
-                self._incarnation,
-                context=contextvars.Context(),
-            )
+        noticed_s = self._way.delay_s() + SERVER_NOTICES_CLOSE_S
+        if not self._passes():
+            noticed_s = SERVER_KEEPS_SILENT_S
+        loop = asyncio.get_running_loop()
+        loop.call_later(noticed_s, self._end_at_server, context=contextvars.Context())
+
+    def _end_at_server(self) -> None:
+        if self._work is not None:
+            self._work.cancel()
+        self._server.connection_closed(self._incarnation)
 
     async def _connect(self, deadline: float) -> None:
         if not self._way.reaches() or not self._server.up:
@@ -131,7 +131,6 @@
         if self._closed.is_set():
             raise ConnectionDied(self._server.name, "closed here")
         if not self._work.done() or not self._passes():
-            self._work.cancel()
             raise ExchangeTimedOut(self._server.name)
         reply = None if self._work.cancelled() else self._work.result()
         await self._clock.sleep(self._way.delay_s())
