Pack bulky news into datagrams, and let few VMs take over polling at a time

A reshard registers 405 servers at once, about 100 KB of news, which did not fit into a datagram. 60 VMs then fetched it over streams from one small VM (30 Mbit/s, half a core): every fetch ran into its time-out of 1 s, its own call to the store too, and views stood still from 2.5 to 6 s. All VMs of rank 4 and above were then allowed to poll at the same age, and did. Change: news goes out in the order of revisions, in as many compressed datagrams as it takes; fetched tables are compressed. A VM's turn grows with the logarithm of its rank beyond 4, and its first poll asks without waiting, so that the others hear at once. Ruled out: a slow poll of the store (its answers came in 4 ms), the registry's grace for lapsed servers (the server was known as draining elsewhere after 0.1 s). Tests: test_many_servers_at_once_do_not_fill_a_small_vms_link, test_few_vms_take_over_when_the_store_turns_the_first_ones_away (both failed before), test_a_packed_message_that_is_damaged_or_far_too_long_is_a_frame_error.

--- a/bergamotgate/publication/follower.py
+++ b/bergamotgate/publication/follower.py
@@ -5,6 +5,7 @@
 the store is thus replaced without any agreement, and store calls do not grow with the fleet.
 """
 
+import math
 import random
 from collections.abc import Callable
 
@@ -21,12 +22,14 @@
 # Longest wait of one poll, and the pause between polls while changes keep coming.
 POLL_WAIT_S = 1.0
 POLL_EVERY_S = 0.7
-# The first poll only proves that the reading before it is current.
-FIRST_POLL_WAIT_S = 0.01
+# A poll that only proves that what is known is current, as the first one of a stand-by.
+SHORT_POLL_WAIT_S = 0.01
 # A stand-by polls once its knowledge is older than this, plus a step for each rank before it.
 STAND_BY_AGE_S = 1.9
 STAND_BY_STEP_S = 0.4
 MAX_STEPS = 4
+# Beyond these ranks each doubling adds so much: the last of 710 polls at an age of 4.6 s.
+STAND_BY_DOUBLING_S = 0.15
 ACTING_S = 5.0
 CHECK_EVERY_S = 0.1
 RETRY_FIRST_S = 0.25
@@ -116,11 +119,11 @@
             return False
         if self._table.as_of == UNREAD:
             return now - self._started_at >= self._first_wait_s
-        rank = self._rank()
-        if rank == 0 or now < self._acting_until:
-            return True
-        allowed_s = STAND_BY_AGE_S + STAND_BY_STEP_S * min(rank, MAX_STEPS)
-        return self._table.age_s() > allowed_s
+        return self._acts() or self._table.age_s() > _stand_by_age_s(self._rank())
+
+    def _acts(self) -> bool:
+        """Whether this VM polls for the fleet."""
+        return self._rank() == 0 or self._clock.now() < self._acting_until
 
     async def _poll(self) -> bool:
         """Read what is new; return whether the store answered."""
@@ -129,7 +132,8 @@
         try:
             if since == UNREAD:
                 return await self._read_first(asked_at)
-            news = await self._source.changes(since, POLL_WAIT_S)
+            wait_s = POLL_WAIT_S if self._acts() else SHORT_POLL_WAIT_S
+            news = await self._source.changes(since, wait_s)
         except HistoryLost as error:
             logger.warning("publication: {}", error)
             self._metrics.service_calls.labels("store_watch", "history_lost").inc()
@@ -146,7 +150,7 @@
         """Read everything, and what changed since; nothing older comes into force between."""
         whole = await self._source.read_all(newest=False)
         self._note_answer("read")
-        news = await self._source.changes(whole.as_of, FIRST_POLL_WAIT_S)
+        news = await self._source.changes(whole.as_of, SHORT_POLL_WAIT_S)
         self._note_answer("watch")
         item_by_key = {item.key: item for item in (*whole.items, *news.items)}
         present = [item for item in item_by_key.values() if item.value is not None]
@@ -189,3 +193,9 @@
         self._acting_until = float("-inf")
         self._retry_at = self._clock.now() + self._retry_s * self._rng.uniform(0.7, 1.3)
         self._retry_s = min(RETRY_MOST_S, 2 * self._retry_s)
+
+
+def _stand_by_age_s(rank: int) -> float:
+    """Age of what is known at which the VM of a rank polls; few VMs reach theirs at a time."""
+    doublings = math.log2(max(1.0, rank / MAX_STEPS))
+    return STAND_BY_AGE_S + STAND_BY_STEP_S * min(rank, MAX_STEPS) + STAND_BY_DOUBLING_S * doublings
--- a/bergamotgate/publication/spread.py
+++ b/bergamotgate/publication/spread.py
@@ -4,6 +4,9 @@
 theirs, so that a change crosses between zones twice a zone and not once a VM.
 """
 
+from collections.abc import Iterator
+from dataclasses import dataclass
+
 from loguru import logger
 
 from bergamotgate.clock import Clock, TaskGroup, milliseconds
@@ -12,7 +15,7 @@
 from bergamotgate.publication.audience import Audience
 from bergamotgate.publication.items import UNREAD, ItemTable, PublishedItem
 from bergamotgate.publication.source import ItemChanges
-from bergamotgate.wire.codec import WIRE_VERSION, decode_frame, encode
+from bergamotgate.wire.codec import WIRE_VERSION, decode_frame, encode_packed
 from bergamotgate.wire.generated import ttypes
 from bergamotgate.wire.links import Links, PeerProcess
 from bergamotgate.wire.network import FrameStream, Listener, Network
@@ -21,12 +24,13 @@
 __all__ = ["PublicationSpread"]
 
 FETCH_TIMEOUT_S = 1.0
-# Leaves room in a datagram for its other fields.
-MAX_NEWS_BYTES = 6000
+# Changes that go into one datagram, before it is compressed; bounds the time that packing takes.
+MAX_NEWS_BYTES = 32 * 1024
 ITEM_OVERHEAD_BYTES = 24
 NOT_CARRIED = -1
 # Stands for any greater age, also of what was never confirmed.
 MAX_AGE_S = 1_000_000.0
+NEVER_CONFIRMED_MS = milliseconds(MAX_AGE_S)
 
 
 class PublicationSpread:
@@ -70,19 +74,29 @@
         await self._tasks.close()
 
     def tell(self, since: int, news: ItemChanges) -> None:
-        """Tell what a poll brought."""
-        items = _carried(news)
-        message = ttypes.PublishedNews(
-            since=since if items is not None else NOT_CARRIED,
-            as_of=news.as_of,
-            age_ms=self._age_ms(),
-            items=items or [],
-        )
-        self._send(self._audience.of_poll(), message)
+        """Tell what a poll brought, in as many datagrams as it takes."""
+        addresses = self._audience.of_poll()
+        newest = {item.key: item for item in news.items}.values()
+        changes = sorted(newest, key=lambda item: item.revision)
+        for part in _parts(since, news.as_of, changes):
+            complete = part.as_of == news.as_of
+            age_ms = self._age_ms() if complete else NEVER_CONFIRMED_MS
+            items = [_message(item) for item in part.items]
+            if not self._send(
+                addresses, ttypes.PublishedNews(part.since, part.as_of, age_ms, items)
+            ):
+                break
+        else:
+            return
+        self._send(addresses, self._mark())
+
+    def _mark(self) -> ttypes.PublishedNews:
+        """Says which revision is here, without any item."""
+        return ttypes.PublishedNews(NOT_CARRIED, self._table.as_of, self._age_ms(), [])
 
-    def _send(self, addresses: list[str], message: ttypes.PublishedNews) -> None:
-        for address in addresses:
-            self._port.send(address, news=message)
+    def _send(self, addresses: list[str], message: ttypes.PublishedNews) -> bool:
+        """Send news; return False if it does not fit into a datagram."""
+        return self._port.send_packed(addresses, news=message)
 
     def ask(self, address: str) -> None:
         """Ask a peer for what it has."""
@@ -92,8 +106,7 @@
 
     def _receive(self, address: str, message: ttypes.Datagram) -> None:
         if message.reply_wanted and self._table.as_of != UNREAD:
-            mark = ttypes.PublishedNews(NOT_CARRIED, self._table.as_of, self._age_ms(), [])
-            self._port.send(address, news=mark)
+            self._port.send(address, news=self._mark())
         if message.news is not None:
             self._learn(address, message.sender, message.news)
 
@@ -102,12 +115,13 @@
         if news.as_of < self._table.as_of:
             return
         carried = news.since != NOT_CARRIED and news.since <= self._table.as_of
-        if news.as_of > self._table.as_of and not carried:
+        changed = news.as_of > self._table.as_of
+        if changed and not carried:
             self.ask(address)
             return
-        if news.as_of > self._table.as_of:
+        if changed:
             self._table.merge(news.since, news.as_of, [_item(item) for item in news.items])
-        if current_at > self._table.confirmed_at:
+        if changed or current_at > self._table.confirmed_at:
             self._table.confirm(current_at)
             self._send(self._audience.of_relay(sender), news)
 
@@ -137,8 +151,7 @@
             return
         if reply.as_of >= self._table.as_of:
             self._table.confirm(asked_at - reply.age_ms / 1000)
-            mark = ttypes.PublishedNews(NOT_CARRIED, self._table.as_of, self._age_ms(), [])
-            self._send(self._audience.of_fetch(), mark)
+            self._send(self._audience.of_fetch(), self._mark())
 
     async def _serve(self, stream: FrameStream) -> None:
         self._streams.add(stream)
@@ -147,7 +160,7 @@
                 frame = decode_frame(await stream.receive())
                 answer = self._answer(frame)
                 if answer is not None:
-                    stream.send(encode(answer))
+                    stream.send(encode_packed(answer))
         except LinkLost:
             pass  # the peer opens another stream when it needs one
         except FrameError as error:
@@ -175,11 +188,28 @@
         return ttypes.Frame(version=WIRE_VERSION, published_reply=reply)
 
 
-def _carried(news: ItemChanges) -> list[ttypes.PublishedItem] | None:
-    """The changes in message form; None when they do not fit into a datagram."""
-    newest = {item.key: item for item in news.items}.values()
-    size = sum(len(i.key) + len(i.value or b"") + ITEM_OVERHEAD_BYTES for i in newest)
-    return [_message(item) for item in newest] if size <= MAX_NEWS_BYTES else None
+@dataclass(frozen=True)
+class _Part:
+    """Changes after one revision up to another."""
+
+    since: int
+    as_of: int
+    items: list[PublishedItem]
+
+
+def _parts(since: int, as_of: int, changes: list[PublishedItem]) -> Iterator[_Part]:
+    """Changes in the order of their revisions, cut where a datagram is full."""
+    items: list[PublishedItem] = []
+    size = 0
+    for item in changes:
+        item_size = len(item.key) + len(item.value or b"") + ITEM_OVERHEAD_BYTES
+        if items and size + item_size > MAX_NEWS_BYTES:
+            yield _Part(since, items[-1].revision, items)
+            since = items[-1].revision
+            items, size = [], 0
+        items.append(item)
+        size += item_size
+    yield _Part(since, as_of, items)
 
 
 def _message(item: PublishedItem) -> ttypes.PublishedItem:
--- a/bergamotgate/standin/memory.py
+++ b/bergamotgate/standin/memory.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextvars
+from collections import Counter
 from collections.abc import Callable
 
 from bergamotgate.errors import (
@@ -71,10 +72,15 @@
 
 
 class MemoryNetwork:
-    """The network between nodes; one object serves the whole fleet."""
+    """The network between nodes; one object serves the whole fleet.
+
+    Attributes:
+        bytes_by_sender: Bytes that each address has sent, in datagrams and streams.
+    """
 
     def __init__(self, faults: NetworkFaults):
         self.faults = faults
+        self.bytes_by_sender: Counter[str] = Counter()
         self._port_by_address: dict[str, _MemoryPort] = {}
         self._listener_by_address: dict[str, _MemoryListener] = {}
         self._streams_by_address: dict[str, set[_MemoryStream]] = {}
@@ -116,6 +122,7 @@
 
     def deliver(self, source: str, target: str, data: bytes) -> None:
         """Carry a datagram."""
+        self.bytes_by_sender[source] += len(data)
         if not self.faults.reaches_peer(source, target) or self.faults.loss():
             return
         loop = asyncio.get_running_loop()
@@ -133,8 +140,8 @@
         listener = self._listener_by_address.get(target)
         if listener is None:
             raise LinkLost(target)
-        near = _MemoryStream(self.faults, source, target)
-        far = _MemoryStream(self.faults, target, source)
+        near = _MemoryStream(self, source, target)
+        far = _MemoryStream(self, target, source)
         near.other, far.other = far, near
         self._streams_by_address.setdefault(source, set()).add(near)
         self._streams_by_address.setdefault(target, set()).add(far)
@@ -213,19 +220,21 @@
 
 
 class _MemoryStream:
-    def __init__(self, faults: NetworkFaults, own: str, peer: str):
-        self._faults = faults
+    def __init__(self, network: MemoryNetwork, own: str, peer: str):
+        self._network = network
+        self._faults = network.faults
         self._own = own
         self.peer = peer
         self.other: _MemoryStream | None = None
         self._inbox: asyncio.Queue[bytes | None] = asyncio.Queue()
-        self._generation = faults.generation
+        self._generation = network.faults.generation
         self._closed = False
         self._last_arrival = 0.0
 
     def send(self, data: bytes) -> None:
         if self._closed:
             raise LinkLost(self.peer)
+        self._network.bytes_by_sender[self._own] += len(data)
         if self._passes():
             loop = asyncio.get_running_loop()
             soonest = loop.time() + self._faults.delay_s(self._own, self.peer)
--- a/bergamotgate/wire/port.py
+++ b/bergamotgate/wire/port.py
@@ -1,12 +1,18 @@
 """One datagram port for all parts of a node: stamps what leaves, checks and hands on what comes."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from loguru import logger
 
 from bergamotgate.errors import FrameError
 from bergamotgate.metrics import Metrics
-from bergamotgate.wire.codec import WIRE_VERSION, decode_datagram, encode
+from bergamotgate.wire.codec import (
+    MAX_DATAGRAM_BYTES,
+    WIRE_VERSION,
+    decode_datagram,
+    encode,
+    encode_packed,
+)
 from bergamotgate.wire.generated.ttypes import Datagram, RevisionMark
 from bergamotgate.wire.network import DatagramPort, Network
 
@@ -48,9 +54,18 @@
 
     def send(self, address: str, **fields: object) -> None:
         """Send the given fields of a datagram."""
-        if self._port is None:
-            return
-        message = Datagram(
+        self._send_bytes([address], encode(self._stamped(fields)))
+
+    def send_packed(self, addresses: Iterable[str], **fields: object) -> bool:
+        """Send the same compressed datagram to many peers; return False if it is too long."""
+        data = encode_packed(self._stamped(fields))
+        if len(data) > MAX_DATAGRAM_BYTES:
+            return False
+        self._send_bytes(addresses, data)
+        return True
+
+    def _stamped(self, fields: dict[str, object]) -> Datagram:
+        return Datagram(
             version=WIRE_VERSION,
             sender=self.vm,
             boot=self.boot,
@@ -58,10 +73,14 @@
             vm_list=self.vm_list_mark,
             **fields,
         )
-        data = encode(message)
-        self._metrics.control_bytes.labels("sent").inc(len(data))
-        self._metrics.control_messages.labels("sent").inc()
-        self._port.send(address, data)
+
+    def _send_bytes(self, addresses: Iterable[str], data: bytes) -> None:
+        if self._port is None:
+            return
+        for address in addresses:
+            self._metrics.control_bytes.labels("sent").inc(len(data))
+            self._metrics.control_messages.labels("sent").inc()
+            self._port.send(address, data)
 
     def _receive(self, address: str, data: bytes) -> None:
         self._metrics.control_bytes.labels("received").inc(len(data))
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -16,7 +16,14 @@
 from bergamotgate.ownership import rank
 from bergamotgate.ownership.share import larger_half, smaller_half
 from bergamotgate.quarantine import QuarantineBook
-from bergamotgate.wire import MAX_DATAGRAM_BYTES, decode_datagram, decode_frame, encode
+from bergamotgate.wire import (
+    MAX_DATAGRAM_BYTES,
+    MAX_UNPACKED_DATAGRAM_BYTES,
+    decode_datagram,
+    decode_frame,
+    encode,
+    encode_packed,
+)
 from bergamotgate.wire.generated.ttypes import Datagram, Frame, Outcome, Reason
 from bergamotgate.wire.port import PeerPort
 from tests.support import cases, check, virtual
@@ -329,4 +336,15 @@
     check.assertEqual("vm", decode_datagram(encode(Datagram(1, "vm", 2))).sender)
 
 
+def test_a_packed_message_that_is_damaged_or_far_too_long_is_a_frame_error():
+    packed = encode_packed(Datagram(1, "vm" * 5000, 2))
+    check.assertLess(len(packed), 200)
+    check.assertEqual("vm" * 5000, decode_datagram(packed).sender)
+    for data in (packed[:-5], packed[:10] + b"\xff" + packed[11:]):
+        with check.assertRaises(FrameError):
+            decode_datagram(data)
+    with check.assertRaises(FrameError):
+        decode_datagram(encode_packed(Datagram(1, "v" * MAX_UNPACKED_DATAGRAM_BYTES, 2)))
+
+
 load_tests = cases(globals())
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -2,10 +2,16 @@
 
 import asyncio
 
+from bergamotgate.errors import PlatformUnavailable
+from bergamotgate.publication.follower import MAX_STEPS
 from tests.gateways import GatewayFleet, make_config, make_server
 from tests.support import cases, check, virtual
 
 IN_FORCE_S = 3.0
+# A change must be in force everywhere after this time.
+STATED_IN_FORCE_S = 5.0
+# What the smallest VM, with a link of 15 Mbit/s, sends in half a second.
+SMALL_LINK_BYTES = 15_000_000 / 8 / 2
 
 
 @virtual
@@ -25,6 +31,23 @@
     await fleet.close()
 
 
+@virtual
+async def test_many_servers_at_once_do_not_fill_a_small_vms_link():
+    fleet = GatewayFleet(60)
+    fleet.source.publish("op/config", make_config(1))
+    await fleet.start(6.0)
+    before = fleet.network.bytes_by_sender.copy()
+    for number in range(405):
+        server = make_server(f"shard-{number % 135}", f"10.1.{number % 3}.{number // 3}:80")
+        fleet.source.publish(f"servers/i-{number * 7919:010x}", server)
+    await asyncio.sleep(2.0)
+    for node in fleet.nodes:
+        check.assertEqual(405, node.beliefs.registry.count(), node.settings.vm)
+    most = max((fleet.network.bytes_by_sender - before).values())
+    check.assertLess(most, SMALL_LINK_BYTES)
+    await fleet.close()
+
+
 @virtual
 async def test_one_vm_polls_the_store_for_all():
     fleet = GatewayFleet(9)
@@ -36,6 +59,39 @@
     await fleet.close()
 
 
+class TurnedAwaySource:
+    """A store that answers some VMs only, and counts who asks."""
+
+    def __init__(self, source, vm: str, away: bool, askers: set[str]):
+        self._source = source
+        self._vm = vm
+        self._away = away
+        self._askers = askers
+
+    async def changes(self, after, wait_s):
+        self._askers.add(self._vm)
+        if self._away:
+            raise PlatformUnavailable("store", "503")
+        return await self._source.changes(after, wait_s)
+
+
+@virtual
+async def test_few_vms_take_over_when_the_store_turns_the_first_ones_away():
+    fleet = GatewayFleet(60)
+    fleet.source.publish("op/config", make_config(1))
+    await fleet.start(6.0)
+    askers: set[str] = set()
+    for node in fleet.nodes:
+        away = node._watch_rank() < MAX_STEPS
+        node.follower._source = TurnedAwaySource(fleet.source, node.settings.vm, away, askers)
+    await asyncio.sleep(20)
+    # Those that are turned away, and as many again.
+    check.assertLessEqual(len(askers), 2 * MAX_STEPS)
+    for node in fleet.nodes:
+        check.assertLess(node.items.age_s(), STATED_IN_FORCE_S)
+    await fleet.close()
+
+
 @virtual
 async def test_a_lost_history_is_read_anew_and_current():
     fleet = GatewayFleet(3)
