Ask servers of other zones through a VM there, which returns only what can be of use

Change: a gateway hands such parts to one of the largest VMs of the servers' zone over one stream; a query's common part travels once, parts of one moment together. The VM there asks the server, checks the reply as a gateway does, and returns the signature and only records greater than the least that the gateway still needs. A lost or silent stream (echo, 0.2 s) ends what is pending and is avoided for 2 s; then servers are asked directly, as without a VM there. Ruled out: bytes of clients (they stay in their zone), asking servers for less (their protocol has no way). Weighed: a floor that the other VM keeps by itself would save more of the first parts, but a part that the gateway no longer counts would then take records from the answer. Tests: tests/test_delegate.py (servers near are asked directly, a VM that ends or falls silent, a query given up, wrong replies, a server that the other VM knows to be gone, records left out).

--- /dev/null
+++ b/bergamotgate/delegate/delegates.py
@@ -0,0 +1,101 @@
+"""Chooses the VM through which a gateway asks the servers of another availability zone."""
+
+from bergamotgate.clock import Clock, TaskGroup
+from bergamotgate.delegate.link import DelegatedExchange, DelegateLink
+from bergamotgate.discovery.servers import DiscoveredServer
+from bergamotgate.membership.capacity import largest
+from bergamotgate.membership.members import Member, MemberState, MemberTable
+from bergamotgate.metrics import Metrics
+from bergamotgate.ownership.rendezvous import rank
+from bergamotgate.relay.messages import ClientRequest, OnEnd, RecordsNeed
+from bergamotgate.wire.network import Network
+
+__all__ = ["Delegates"]
+
+# A VM whose stream was lost gets no parts for so long; servers are asked directly meanwhile.
+AVOID_S = 2.0
+
+
+class Delegates:
+    """Links to one VM of each other zone, opened when they are first used."""
+
+    def __init__(
+        self, members: MemberTable, network: Network, clock: Clock, metrics: Metrics
+    ) -> None:
+        self._members = members
+        self._network = network
+        self._clock = clock
+        self._metrics = metrics
+        self._tasks = TaskGroup("delegate:")
+        self._link_by_vm: dict[str, DelegateLink] = {}
+        self._avoid_until_by_vm: dict[str, float] = {}
+        self._ranked_by_zone: dict[str, list[Member]] = {}
+        self._ranked_as_of = -1
+
+    def send(
+        self,
+        request: ClientRequest,
+        server: DiscoveredServer,
+        budget_s: float,
+        need: RecordsNeed,
+        on_end: OnEnd,
+    ) -> DelegatedExchange | None:
+        """Ask a server of another zone through a VM there; None if there is no such VM."""
+        if server.zone == self._members.own.zone:
+            return None
+        member = self._choose(server.zone)
+        if member is None:
+            return None
+        self._metrics.delegated.labels("asked").inc()
+        return self._link_to(member).send(request, server.server, budget_s, need, on_end)
+
+    def close_links(self) -> None:
+        """End all links: this VM slept, and they may be dead."""
+        links, self._link_by_vm = self._link_by_vm, {}
+        for link in links.values():
+            link.close()
+
+    async def close(self) -> None:
+        """End all links and their tasks."""
+        self.close_links()
+        await self._tasks.close()
+
+    def _choose(self, zone: str) -> Member | None:
+        if self._ranked_as_of != self._members.version:
+            self._ranked_as_of = self._members.version
+            self._ranked_by_zone = {}
+        ranked = self._ranked_by_zone.get(zone)
+        if ranked is None:
+            ranked = self._rank(zone)
+            self._ranked_by_zone[zone] = ranked
+        now = self._clock.now()
+        for member in ranked:
+            if self._avoid_until_by_vm.get(member.vm, now) <= now:
+                return member
+        return None
+
+    def _rank(self, zone: str) -> list[Member]:
+        """The largest VMs of a zone in this gateway's own order, so that gateways spread."""
+        alive = [m for m in self._members.others((MemberState.ALIVE,)) if m.zone == zone]
+        member_by_vm = {member.vm: member for member in largest(alive)}
+        order = rank(f"delegate/{self._members.own.vm}", list(member_by_vm))
+        return [member_by_vm[vm] for vm in order]
+
+    def _link_to(self, member: Member) -> DelegateLink:
+        link = self._link_by_vm.get(member.vm)
+        if link is None or link.closed:
+            link = DelegateLink(
+                member.vm,
+                member.peer,
+                self._network,
+                self._clock,
+                self._tasks,
+                self._metrics,
+                self._note_lost,
+            )
+            self._link_by_vm[member.vm] = link
+        return link
+
+    def _note_lost(self, vm: str) -> None:
+        self._avoid_until_by_vm[vm] = self._clock.now() + AVOID_S
+        self._metrics.delegated.labels("lost").inc()
--- a/bergamotgate/discovery/registry.py
+++ b/bergamotgate/discovery/registry.py
@@ -21,11 +21,7 @@
 
 
 class ServerRegistry:
-    """Servers by identifier and by pool, and the zones that are out.
-
-    Attributes:
-        zones_out: Availability zones whose servers get nothing new.
-    """
+    """Servers by identifier and by pool, and the zones that are out."""
 
     def __init__(self, clock: Clock):
         self._clock = clock
@@ -35,7 +31,19 @@
         self._cold_until_by_id: dict[str, float] = {}
         self._started: list[OnServer] = []
         self._ended: list[OnServer] = []
-        self.zones_out: frozenset[str] = frozenset()
+        self._zones_out: frozenset[str] = frozenset()
+        # Asked for with each sub-request, so kept until something changes.
+        self._usable_by_pool: dict[str, list[DiscoveredServer]] = {}
+
+    @property
+    def zones_out(self) -> frozenset[str]:
+        """Availability zones whose servers get nothing new."""
+        return self._zones_out
+
+    @zones_out.setter
+    def zones_out(self, zones: frozenset[str]) -> None:
+        self._zones_out = zones
+        self._usable_by_pool.clear()
 
     def on_start(self, listener: OnServer) -> None:
         """Call back with each lifetime that begins."""
@@ -53,20 +61,22 @@
         """Number of registered servers."""
         return len(self._server_by_id)
 
+    def takes_work(self, server: DiscoveredServer) -> bool:
+        """Whether a server takes new work."""
+        return server.standing is ServerStanding.READY and server.zone not in self.zones_out
+
     def usable(self, pool: str) -> list[DiscoveredServer]:
-        """Servers of a pool that take new work."""
-        return [
-            server
-            for server in self._servers_by_pool.get(pool, {}).values()
-            if server.standing is ServerStanding.READY and server.zone not in self.zones_out
-        ]
+        """Servers of a pool that take new work; not to be changed."""
+        usable = self._usable_by_pool.get(pool)
+        if usable is None:
+            servers = self._servers_by_pool.get(pool, {}).values()
+            usable = [server for server in servers if self.takes_work(server)]
+            self._usable_by_pool[pool] = usable
+        return usable
 
     def has_usable(self, pool: str) -> bool:
         """Whether any server of a pool takes new work."""
-        return any(
-            server.standing is ServerStanding.READY and server.zone not in self.zones_out
-            for server in self._servers_by_pool.get(pool, {}).values()
-        )
+        return bool(self.usable(pool))
 
     def zones_of(self, pool: str) -> list[str]:
         """The zone of each server of a pool that takes new work."""
@@ -93,6 +103,7 @@
             known = None
         self._server_by_id[server.server] = server
         self._servers_by_pool.setdefault(server.pool, {})[server.server] = server
+        self._usable_by_pool.pop(server.pool, None)
         self.note_cold(server.server, server.cold_ms)
         if known is None:
             logger.info("discovery: Server {} of {} is there.", server.server, server.pool)
@@ -128,6 +139,7 @@
     def _remove(self, server: DiscoveredServer) -> None:
         self._server_by_id.pop(server.server, None)
         self._servers_by_pool.get(server.pool, {}).pop(server.server, None)
+        self._usable_by_pool.pop(server.pool, None)
         self._lapsed_at_by_id.pop(server.server, None)
         self._cold_until_by_id.pop(server.server, None)
         logger.info("discovery: Server {} of {} is gone.", server.server, server.pool)
--- a/bergamotgate/gateway/directory.py
+++ b/bergamotgate/gateway/directory.py
@@ -10,6 +10,7 @@
 
 from bergamotgate.config.catalogue import Catalogue
 from bergamotgate.discovery.registry import ServerRegistry
+from bergamotgate.membership.capacity import largest
 from bergamotgate.membership.members import Member, MemberState, MemberTable
 
 __all__ = ["ClientDirectory", "KEEP_S", "MAX_ADDRESSES"]
@@ -19,9 +20,6 @@
 MAX_ADDRESSES = 64
 # A zone with less than this share of the fullest zone's servers is not worth a visit.
 LEAST_ZONE_SHARE = 0.5
-# The largest VMs that hold this share of a zone's processor time serve its clients: a query over
-# many shards is faster on a larger VM, and fewer VMs learn more of each server.
-LARGEST_SHARE = 0.25
 # Part of a fleet-wide allowance that the VMs have to which no client is sent: some clients still
 # come by an older answer.
 BYPASSED_PART = 0.1
@@ -65,7 +63,7 @@
 
     def _in_zone(self, members: list[Member], zone: str | None) -> list[Member]:
         nearby = [member for member in members if member.zone == zone]
-        return _largest(nearby or members)
+        return largest(nearby or members)
 
     def _choose_zone(self, members: list[Member], zone: str) -> str | None:
         """The caller's zone if it holds servers, else one that does, by its share of them."""
@@ -91,17 +89,3 @@
         sharded = {p for r in catalogue.routes if r.shards is not None for p in r.shards.pools}
         pools = sharded or set(catalogue.rules_by_pool)
         return Counter(zone for pool in pools for zone in self._registry.zones_of(pool))
-
-
-def _largest(members: list[Member]) -> list[Member]:
-    """The largest VMs that together have enough processor time; all where one does not say."""
-    if not all(member.capacity for member in members):
-        return members
-    needed = LARGEST_SHARE * sum(member.capacity for member in members)
-    least = 0
-    for member in sorted(members, key=lambda member: -member.capacity):
-        if needed <= 0:
-            break
-        needed -= member.capacity
-        least = member.capacity
-    return [member for member in members if member.capacity >= least]
--- a/bergamotgate/gateway/node.py
+++ b/bergamotgate/gateway/node.py
@@ -7,10 +7,12 @@
 from loguru import logger
 
 from bergamotgate.clock import Clock, TaskGroup
+from bergamotgate.delegate import Delegates, DelegateService
 from bergamotgate.gateway.beliefs import Beliefs, ItemDecoder
 from bergamotgate.gateway.desk import QueryDesk
 from bergamotgate.gateway.directory import ClientDirectory
 from bergamotgate.gateway.pauses import PauseWatch, suspended_s
+from bergamotgate.gateway.peers import PeerStreams
 from bergamotgate.membership.confirmation import ViewConfirmation
 from bergamotgate.membership.members import Member, MemberState, MemberTable
 from bergamotgate.membership.prober import Prober
@@ -146,7 +148,7 @@
             AddressInUse: Another process has the address.
         """
         await self.port.open(self._services.network, self.settings.peer)
-        await self.spread.open(self._services.network, self.settings.peer)
+        await self.peers.open(self._services.network, self.settings.peer)
         self.prober.use_seeds(self.settings.seeds)
         self.prober.start()
         self._tasks.start(self._join())
@@ -176,6 +178,8 @@
         await self._tasks.close()
         await self.crashes.close()
         await self.follower.close()
+        self.peers.close()
+        await self.delegates.close()
         await self.spread.close()
         await self.prober.close()
         await self.links.close()
@@ -185,7 +189,7 @@
         services = self._services
         self.items = ItemTable(clock)
         self.spread = PublicationSpread(
-            self.items, self.port, self.links, Audience(self.members), clock, self.metrics
+            self.items, self.port, self.links, Audience(self.members), clock
         )
         self.follower = PublicationFollower(
             self.items,
@@ -218,7 +222,10 @@
         )
         book = QuarantineBook(self.port, self._peer_addresses, clock, self.metrics)
         self.crashes = CrashWatch(book, servers.takes_connections, clock)
-        sender = Sender(servers, services.codec, self.crashes, clock, self.metrics)
+        self.delegates = Delegates(self.members, services.network, clock, self.metrics)
+        service = DelegateService(registry, servers, services.codec, clock, self.metrics)
+        self.peers = PeerStreams(self.spread, service, self.metrics)
+        sender = Sender(servers, services.codec, self.crashes, clock, self.metrics, self.delegates)
         tools = RelayTools(
             sender, chooser, servers, self._budgets, self.crashes, LoopLag(), clock, self.metrics
         )
@@ -256,6 +263,7 @@
     def _after_pause(self, paused_s: float) -> None:
         """Look at the store anew before anything is sent, on connections made since."""
         self.servers.close_idle()
+        self.delegates.close_links()
         self.follower.poll_soon()
         self.desk.await_news()
 
--- /dev/null
+++ b/bergamotgate/gateway/peers.py
@@ -0,0 +1,75 @@
+"""Serves the streams that other VMs open: one task for each."""
+
+from loguru import logger
+
+from bergamotgate.delegate import DelegateService, DelegateSession
+from bergamotgate.errors import FrameError, LinkLost
+from bergamotgate.metrics import Metrics
+from bergamotgate.publication import PublicationSpread
+from bergamotgate.wire.codec import WIRE_VERSION, decode_frame, encode, encode_packed
+from bergamotgate.wire.generated import ttypes
+from bergamotgate.wire.network import FrameStream, Listener, Network
+
+__all__ = ["PeerStreams"]
+
+
+class PeerStreams:
+    """Answers peers that ask for published items, or for parts of queries."""
+
+    def __init__(self, spread: PublicationSpread, delegates: DelegateService, metrics: Metrics):
+        self._spread = spread
+        self._delegates = delegates
+        self._metrics = metrics
+        self._listener: Listener | None = None
+        self._streams: set[FrameStream] = set()
+
+    async def open(self, network: Network, address: str) -> None:
+        """Start to listen.
+
+        Raises:
+            AddressInUse: Another process has the address.
+        """
+        self._listener = await network.listen(address, self._serve)
+
+    def close(self) -> None:
+        """Stop to listen and end all streams."""
+        if self._listener is not None:
+            self._listener.close()
+        for stream in list(self._streams):
+            stream.close()
+
+    async def _serve(self, stream: FrameStream) -> None:
+        self._streams.add(stream)
+        session = self._delegates.begin(lambda replies: _send_replies(stream, replies))
+        try:
+            while True:
+                self._receive(stream, session, decode_frame(await stream.receive()))
+        except LinkLost:
+            pass  # the peer opens another stream when it needs one
+        except FrameError as error:
+            self._metrics.bad_messages.labels("frame").inc()
+            logger.warning("peers: {} sends unreadable frames: {}", stream.peer, error)
+        finally:
+            session.close()
+            self._streams.discard(stream)
+            stream.close()
+
+    def _receive(self, stream: FrameStream, session: DelegateSession, frame: ttypes.Frame) -> None:
+        if frame.echo is not None:
+            stream.send(encode(ttypes.Frame(version=WIRE_VERSION, echo_reply=frame.echo)))
+        for ask in frame.delegated_asks or ():
+            session.ask(ask)
+        if frame.delegated_cancels:
+            session.cancel(frame.delegated_cancels)
+        if frame.published_ask is not None:
+            reply = self._spread.answer(frame.published_ask)
+            if reply is not None:
+                answer = ttypes.Frame(version=WIRE_VERSION, published_reply=reply)
+                stream.send(encode_packed(answer))
+
+
+def _send_replies(stream: FrameStream, replies: list[ttypes.DelegatedReply]) -> None:
+    try:
+        stream.send(encode(ttypes.Frame(version=WIRE_VERSION, delegated_replies=replies)))
+    except LinkLost:
+        return  # the reading side sees the loss too and gives everything up
--- a/bergamotgate/metrics.py
+++ b/bergamotgate/metrics.py
@@ -29,6 +29,7 @@
         self.connections = self._counter("connections", "Backend connections.", "pool event")
         self.wrong_replies = self._counter("wrong_replies", "Replies not believed.", "pool reason")
         self.unreadable_items = self._counter("unreadable_items", "Published garbage.", "kind")
+        self.delegated = self._counter("delegated", "Parts through VMs near servers.", "event")
         self.strikes = self._counter("strikes", "Servers lost to a request.", "pool")
         self.latency = Histogram(
             "bergamotgate_request_seconds",
--- a/bergamotgate/publication/spread.py
+++ b/bergamotgate/publication/spread.py
@@ -10,15 +10,13 @@
 from loguru import logger
 
 from bergamotgate.clock import Clock, TaskGroup, milliseconds
-from bergamotgate.errors import FrameError, LinkLost
-from bergamotgate.metrics import Metrics
+from bergamotgate.errors import LinkLost
 from bergamotgate.publication.audience import Audience
 from bergamotgate.publication.items import UNREAD, ItemTable, PublishedItem
 from bergamotgate.publication.source import ItemChanges
-from bergamotgate.wire.codec import WIRE_VERSION, decode_frame, encode_packed
+from bergamotgate.wire.codec import WIRE_VERSION
 from bergamotgate.wire.generated import ttypes
 from bergamotgate.wire.links import Links, PeerProcess
-from bergamotgate.wire.network import FrameStream, Listener, Network
 from bergamotgate.wire.port import PeerPort
 
 __all__ = ["PublicationSpread"]
@@ -43,34 +41,18 @@
         links: Links,
         audience: Audience,
         clock: Clock,
-        metrics: Metrics,
     ):
         self._table = table
         self._port = port
         self._links = links
         self._audience = audience
         self._clock = clock
-        self._metrics = metrics
         self._tasks = TaskGroup("publication:")
         self._fetching = False
-        self._listener: Listener | None = None
-        self._streams: set[FrameStream] = set()
         port.subscribe(self._receive)
 
-    async def open(self, network: Network, address: str) -> None:
-        """Answer peers that ask for the table.
-
-        Raises:
-            AddressInUse: Another process has the address.
-        """
-        self._listener = await network.listen(address, self._serve)
-
     async def close(self) -> None:
-        """Stop to answer and to fetch."""
-        if self._listener is not None:
-            self._listener.close()
-        for stream in list(self._streams):
-            stream.close()
+        """Stop to fetch."""
         await self._tasks.close()
 
     def tell(self, since: int, news: ItemChanges) -> None:
@@ -153,39 +135,19 @@
             self._table.confirm(asked_at - reply.age_ms / 1000)
             self._send(self._audience.of_fetch(), self._mark())
 
-    async def _serve(self, stream: FrameStream) -> None:
-        self._streams.add(stream)
-        try:
-            while True:
-                frame = decode_frame(await stream.receive())
-                answer = self._answer(frame)
-                if answer is not None:
-                    stream.send(encode_packed(answer))
-        except LinkLost:
-            pass  # the peer opens another stream when it needs one
-        except FrameError as error:
-            self._metrics.bad_messages.labels("frame").inc()
-            logger.warning("publication: {} sends unreadable frames: {}", stream.peer, error)
-        finally:
-            self._streams.discard(stream)
-            stream.close()
-
-    def _answer(self, frame: ttypes.Frame) -> ttypes.Frame | None:
-        if frame.echo is not None:
-            return ttypes.Frame(version=WIRE_VERSION, echo_reply=frame.echo)
-        if frame.published_ask is None or self._table.as_of == UNREAD:
+    def answer(self, ask: ttypes.PublishedAsk) -> ttypes.PublishedReply | None:
+        """What a peer lacks; None while nothing is known here."""
+        if self._table.as_of == UNREAD:
             return None
-        ask = frame.published_ask
         changes = self._table.changes_after(ask.have) if ask.have != UNREAD else None
         items = changes if changes is not None else self._table.present()
-        reply = ttypes.PublishedReply(
+        return ttypes.PublishedReply(
             call=ask.call,
             as_of=self._table.as_of,
             age_ms=self._age_ms(),
             whole=changes is None,
             items=[_message(item) for item in items],
         )
-        return ttypes.Frame(version=WIRE_VERSION, published_reply=reply)
 
 
 @dataclass(frozen=True)
--- a/bergamotgate/relay/decisions.py
+++ b/bergamotgate/relay/decisions.py
@@ -18,6 +18,7 @@
         late_ms=milliseconds(hedge.started_at - late.started_at),
         usual_ms=milliseconds(usual_s),
         server=hedge.server.server,
+        via=hedge.via,
         slowness=round(late.load.slowness, 1),
     ).info("relay: Sub-request hedged.")
 
@@ -38,6 +39,7 @@
         id=request.attempt,
         pool=sending.server.pool,
         server=sending.server.server,
+        via=sending.via,
         zone=sending.server.zone,
         took_ms=milliseconds(took_s),
         status=result.status if reply else None,
--- a/bergamotgate/relay/messages.py
+++ b/bergamotgate/relay/messages.py
@@ -1,21 +1,27 @@
 """What goes between clients, this process and backend servers, in the project's own terms."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
 
-from bergamotgate.backend.http1 import RawReply
+from bergamotgate.backend.http1 import ExchangeEnd, RawReply
 from bergamotgate.discovery.servers import DiscoveredServer
 from bergamotgate.outcomes import NotRun, Unknown
 
 __all__ = [
     "Answer",
     "ClientRequest",
+    "DelegatedPart",
+    "FarSender",
     "Forwarded",
     "Gathered",
+    "OnEnd",
+    "RecordsNeed",
     "Refused",
     "SendFailure",
     "SendResult",
+    "SentPart",
     "ServerCodec",
     "ServerReply",
     "WrongReplyReason",
@@ -95,14 +101,36 @@
     GARBLED = "garbled"
     TIMED_OUT = "timed_out"
     WRONG_REPLY = "wrong_reply"
+    DELEGATE_LOST = "delegate_lost"
+    DELEGATE_UNREACHABLE = "delegate_unreachable"
 
     @property
     def surely_not_run(self) -> bool:
         """Whether nothing reached the server."""
-        return self is SendFailure.NOT_SENT
+        return self in (SendFailure.NOT_SENT, SendFailure.DELEGATE_UNREACHABLE)
+
+    @property
+    def blames_server(self) -> bool:
+        """Whether it says something of the server, and not of a VM on the way."""
+        return self not in (SendFailure.DELEGATE_LOST, SendFailure.DELEGATE_UNREACHABLE)
 
 
 SendResult = ServerReply | SendFailure
+# Gets what came of one part: the reply as it was framed or as it was read, or why there is none.
+OnEnd = Callable[[RawReply | ExchangeEnd | ServerReply | SendFailure], None]
+
+
+@dataclass(frozen=True, slots=True)
+class RecordsNeed:
+    """Which records of a part can still be of use.
+
+    Attributes:
+        top: The greatest so many.
+        floor: Only those that are greater than this one; empty for all.
+    """
+
+    top: int
+    floor: bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,6 +171,37 @@
 Answer = Forwarded | Gathered | Refused
 
 
+class SentPart(Protocol):
+    """A sub-request on its way."""
+
+    def cancel(self) -> None:
+        """Give it up; nothing is called back then."""
+
+
+class DelegatedPart(SentPart, Protocol):
+    """A sub-request on its way through another VM.
+
+    Attributes:
+        via: Name of that VM.
+    """
+
+    via: str
+
+
+class FarSender(Protocol):
+    """Asks servers of other zones through VMs there."""
+
+    def send(
+        self,
+        request: ClientRequest,
+        server: DiscoveredServer,
+        budget_s: float,
+        need: RecordsNeed,
+        on_end: OnEnd,
+    ) -> DelegatedPart | None:
+        """Ask a server; None if it is near, or no VM is near it."""
+
+
 class ServerCodec(Protocol):
     """Writes sub-requests to backend servers and reads their replies."""
 
--- a/bergamotgate/relay/records.py
+++ b/bergamotgate/relay/records.py
@@ -1,6 +1,8 @@
 """Keeps the greatest records of many parts."""
 
-__all__ = ["GreatestRecords", "RECORD_BYTES"]
+import struct
+
+__all__ = ["GreatestRecords", "RECORD_BYTES", "useful_records"]
 
 RECORD_BYTES = 16
 
@@ -15,13 +17,14 @@
         self._count = count
         self._records: list[bytes] = []
 
+    @property
+    def floor(self) -> bytes:
+        """The least record that is kept; empty while any further record would be kept too."""
+        return self._records[-1] if len(self._records) == self._count else b""
+
     def add(self, part: bytes) -> None:
         """Take in a body of records in no order; a shorter remainder at the end is no record."""
-        end = len(part) - len(part) % RECORD_BYTES
-        records = [part[at : at + RECORD_BYTES] for at in range(0, end, RECORD_BYTES)]
-        if len(self._records) == self._count:
-            least = self._records[-1]
-            records = [record for record in records if record > least]
+        records = _greater(part, self.floor)
         if records:
             merged = sorted(self._records + records, reverse=True)
             self._records = merged[: self._count]
@@ -29,3 +32,14 @@
     def body(self) -> bytes:
         """The records, greatest first; equal records all count."""
         return b"".join(self._records)
+
+
+def useful_records(part: bytes, count: int, floor: bytes) -> bytes:
+    """The greatest records of a part that are greater than a floor, greatest first."""
+    return b"".join(sorted(_greater(part, floor), reverse=True)[:count])
+
+
+def _greater(part: bytes, floor: bytes) -> list[bytes]:
+    count = len(part) // RECORD_BYTES
+    records = struct.unpack_from(f"{RECORD_BYTES}s" * count, part)
+    return [record for record in records if record > floor] if floor else list(records)
--- a/bergamotgate/relay/scatter.py
+++ b/bergamotgate/relay/scatter.py
@@ -15,6 +15,7 @@
     Answer,
     ClientRequest,
     Gathered,
+    RecordsNeed,
     Refused,
     SendFailure,
     SendResult,
@@ -220,6 +221,7 @@
             self._until - DEADLINE_MARGIN_S,
             self._suspicion,
             lambda sending, result: self._on_result(shard, sending, result),
+            RecordsNeed(self._route.shards.top_records, self._records.floor),
         )
         shard.sendings.append(sending)
         self.zones[server.zone] += 1
@@ -234,7 +236,8 @@
             return
         took_s = self._tools.clock.now() - sending.started_at
         log_failure(self._request, sending, result, took_s)
-        if result is SendFailure.NOT_SENT:
+        unsent = isinstance(result, SendFailure) and result.surely_not_run
+        if unsent:
             shard.tried.remove(sending.server.server)
         if self._suspicion.suspected:
             self._wakeup.set()
@@ -242,7 +245,7 @@
         if not shard.sendings and self._tools.clock.now() < self._until - DEADLINE_MARGIN_S:
             if not shard.tried:
                 self._send_unsent(shard, sending)
-            elif result is not SendFailure.NOT_SENT:  # else the next sweep tries again
+            elif not unsent:  # else the next sweep tries again
                 self._send_again(shard)
 
     def _send_unsent(self, shard: _Shard, failed: Sending) -> None:
--- a/bergamotgate/relay/sender.py
+++ b/bergamotgate/relay/sender.py
@@ -6,7 +6,6 @@
 from prometheus_client import Histogram
 
 from bergamotgate.backend.http1 import ExchangeEnd, RawReply
-from bergamotgate.backend.pool import Exchange
 from bergamotgate.clock import Clock, milliseconds
 from bergamotgate.config.catalogue import Route
 from bergamotgate.discovery.servers import DiscoveredServer
@@ -16,8 +15,11 @@
 from bergamotgate.relay.crashes import CrashWatch
 from bergamotgate.relay.messages import (
     ClientRequest,
+    FarSender,
+    RecordsNeed,
     SendFailure,
     SendResult,
+    SentPart,
     ServerCodec,
     ServerReply,
 )
@@ -42,6 +44,7 @@
     Attributes:
         server: Where it goes.
         started_at: Time on the own clock at which it was sent.
+        via: The VM that asks the server; empty if this one does.
     """
 
     def __init__(
@@ -61,7 +64,8 @@
         self.latency = latency
         self.suspicion = suspicion
         self.started_at = started_at
-        self.exchange: Exchange | None = None
+        self.exchange: SentPart | None = None
+        self.via = ""
 
     def cancel(self) -> None:
         """Give it up; the server drops the request when its connection closes."""
@@ -83,8 +87,10 @@
         crashes: CrashWatch,
         clock: Clock,
         metrics: Metrics,
+        far: FarSender | None = None,
     ):
         self._servers = servers
+        self._far = far
         self._codec = codec
         self._crashes = crashes
         self._clock = clock
@@ -100,6 +106,7 @@
         until: float,
         suspicion: Suspicion,
         on_result: OnResult,
+        need: RecordsNeed | None = None,
     ) -> Sending:
         """Send a request to a server and call back with the result, once.
 
@@ -110,6 +117,7 @@
             until: Time on the own clock at which the reply is no longer of use.
             suspicion: What is held against the request.
             on_result: Gets the sending and its result; not called after it was cancelled.
+            need: Which records of the reply are of use; None if the whole reply is.
         """
         now = self._clock.now()
         load = self._servers.load_of(server.server)
@@ -117,23 +125,36 @@
         sending = Sending(next(self._numbers), request, server, load, latency, suspicion, now)
         load.begin(sending.number)
         budget_s = max(LEAST_BUDGET_MS / 1000, until - now)
+
+        def on_end(end: RawReply | ExchangeEnd | ServerReply | SendFailure) -> None:
+            self._ended(sending, end, on_result)
+
+        if need is not None and not suspicion.suspected and self._far is not None:
+            delegated = self._far.send(request, server, budget_s, need, on_end)
+            if delegated is not None:
+                sending.exchange = delegated
+                sending.via = delegated.via
+                return sending
         data = self._codec.encode(request, server, milliseconds(budget_s))
         sending.exchange = self._servers.connections_of(server.server).send(
-            data,
-            budget_s,
-            not route.idempotent,
-            lambda result: self._ended(sending, result, on_result),
+            data, budget_s, not route.idempotent, on_end
         )
         return sending
 
-    def _ended(self, sending: Sending, end: RawReply | ExchangeEnd, on_result: OnResult) -> None:
+    def _ended(
+        self,
+        sending: Sending,
+        end: RawReply | ExchangeEnd | ServerReply | SendFailure,
+        on_result: OnResult,
+    ) -> None:
         took_s = sending.load.end(sending.number)
         result = self._read(sending, end)
         pool = sending.server.pool
         if isinstance(result, ServerReply):
             self._learn_reply(sending, result, took_s)
         else:
-            sending.load.note_failure()
+            if result.blames_server:
+                sending.load.note_failure()
             if result is SendFailure.DIED:
                 self._crashes.note_break(sending.request, sending.suspicion, sending.server)
             self._metrics.declined.labels(pool, result.value).inc()
@@ -146,7 +167,11 @@
             self._latency_by_pool[pool] = histogram
         histogram.observe(took_s)
 
-    def _read(self, sending: Sending, end: RawReply | ExchangeEnd) -> SendResult:
+    def _read(
+        self, sending: Sending, end: RawReply | ExchangeEnd | ServerReply | SendFailure
+    ) -> SendResult:
+        if isinstance(end, ServerReply | SendFailure):
+            return end
         if not isinstance(end, RawReply):
             return FAILURE_BY_END[end]
         decoded = self._codec.decode(sending.request, end)
--- a/bergamotgate/relay/single.py
+++ b/bergamotgate/relay/single.py
@@ -35,6 +35,7 @@
     SendFailure.GARBLED: UnknownReason.CONNECTION_DIED,
     SendFailure.WRONG_REPLY: UnknownReason.CONNECTION_DIED,
     SendFailure.TIMED_OUT: UnknownReason.TIMED_OUT,
+    SendFailure.DELEGATE_LOST: UnknownReason.CONNECTION_DIED,
 }
 
 
--- a/idl/bergamotgate.thrift
+++ b/idl/bergamotgate.thrift
@@ -155,6 +155,50 @@
   3: required i64 to_boot
 }
 
+struct HeaderField { 1: required string name, 2: required string value }
+
+// What all parts of a query share, as a gateway hands it to a VM near the servers.
+struct DelegatedQuery {
+  1: required string attempt
+  2: required string method
+  3: required string host
+  4: required string target
+  5: required list<HeaderField> headers
+  6: required binary body
+}
+
+// Parts of one query; ``head`` comes with the first that go over a stream. Records that are not
+// greater than ``floor`` are of no use.
+struct DelegatedAsk {
+  1: required i64 query
+  2: optional DelegatedQuery head
+  3: required i32 budget_ms
+  4: required i32 top_records
+  5: optional binary floor
+  6: required list<DelegatedPart> parts
+}
+struct DelegatedPart { 1: required i64 number, 2: required string server }
+
+enum DelegatedEnd {
+  REPLIED = 1
+  NOT_SENT = 2
+  DIED = 3
+  GARBLED = 4
+  TIMED_OUT = 5
+  WRONG_REPLY = 6
+}
+
+// ``status`` and what follows are there where the server replied.
+struct DelegatedReply {
+  1: required i64 number
+  2: required DelegatedEnd end
+  3: optional i16 status
+  4: optional bool not_run
+  5: optional bool misdirected
+  6: optional string digest
+  7: optional binary records
+}
+
 struct Frame {
   1: required i16 version
   2: optional Batch batch
@@ -171,4 +215,7 @@
   13: optional Hello hello
   14: optional PublishedAsk published_ask
   15: optional PublishedReply published_reply
+  16: optional list<DelegatedAsk> delegated_asks
+  17: optional list<DelegatedReply> delegated_replies
+  18: optional list<i64> delegated_cancels
 }
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -16,7 +16,7 @@
 from bergamotgate.quarantine import QuarantineBook
 from bergamotgate.relay.budgets import ExtraBudgets, ExtraRules
 from bergamotgate.relay.crashes import CrashWatch
-from bergamotgate.relay.messages import ClientRequest, Forwarded, Gathered, Refused
+from bergamotgate.relay.messages import ClientRequest, FarSender, Forwarded, Gathered, Refused
 from bergamotgate.relay.scatter import answer_due_at
 from bergamotgate.relay.sender import Sender
 from bergamotgate.relay.servers import ServerBook
@@ -45,7 +45,7 @@
 class Rig:
     """A desk and the servers that it relays to."""
 
-    def __init__(self, **config):
+    def __init__(self, far: FarSender | None = None, **config):
         self.clock = MonotonicClock()
         self.metrics = Metrics()
         self.registry = ServerRegistry(self.clock)
@@ -59,7 +59,8 @@
         port = PeerPort("vm", 1, self.metrics)
         self.quarantine = QuarantineBook(port, lambda: [], self.clock, self.metrics)
         crashes = CrashWatch(self.quarantine, self.servers.takes_connections, self.clock)
-        sender = Sender(self.servers, PlatformCodec(), crashes, self.clock, self.metrics)
+        self.codec = PlatformCodec()
+        sender = Sender(self.servers, self.codec, crashes, self.clock, self.metrics, far)
         self.tools = RelayTools(
             sender, chooser, self.servers, budgets, crashes, LoopLag(), self.clock, self.metrics
         )
@@ -71,11 +72,12 @@
         )
         self.replicas: list[StandInReplica] = []
 
-    async def add(self, pool: str, **fields) -> StandInReplica:
+    async def add(self, pool: str, zone: str = "a", **fields) -> StandInReplica:
         replica = StandInReplica(f"i-{len(self.replicas)}", **fields)
         await replica.start()
         self.replicas.append(replica)
-        item = PublishedItem(f"servers/{replica.server}", 1, make_server(pool, replica.address))
+        entry = make_server(pool, replica.address, zone)
+        item = PublishedItem(f"servers/{replica.server}", 1, entry)
         self.registry.offer(PlatformItemDecoder().decode(item))
         return replica
 
