Let requests that come while a process starts wait for its first configuration

Change: until 0.6 s after the start of the process a request waits for the first configuration; later it is refused at once, as before. Ruled out: a later start to listen (the client loses a try by a refused connection as well), a longer Retry-After (there is no further try). Test: test_a_request_at_the_start_waits_for_the_configuration_but_not_for_long (before: refused at once).

--- a/bergamotgate/gateway/desk.py
+++ b/bergamotgate/gateway/desk.py
@@ -18,6 +18,9 @@
 __all__ = ["QueryDesk"]
 
 NOT_READY_RETRY_S = 0.3
+# A process that starts knows its configuration after 0.2 s as a rule; until this time requests wait
+# for it, as a caller that is refused may have no other VM and no further try.
+STARTING_S = 0.6
 # After a pause a request waits at most so long for news; then service goes before freshness.
 LONGEST_HOLD_S = 0.3
 HOLD_STEP_S = 0.01
@@ -47,6 +50,7 @@
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
+        self._started_at = clock.now()
         self.in_progress = 0
         self.draining = False
 
@@ -58,7 +62,7 @@
         """Relay one request and return its answer."""
         if self._news_since is not None:
             await self._hold()
-        catalogue = self._catalogue()
+        catalogue = self._catalogue() or await self._first_catalogue()
         if catalogue is None:
             answer = Refused(NotRun(NotRunReason.NO_CONFIGURATION), NOT_READY_RETRY_S)
             return self._noted(request, None, None, answer, None)
@@ -72,6 +76,12 @@
         finally:
             self.in_progress -= 1
 
+    async def _first_catalogue(self) -> Catalogue | None:
+        """Wait for the first configuration while this process starts."""
+        while self._catalogue() is None and self._clock.now() < self._started_at + STARTING_S:
+            await self._clock.sleep(HOLD_STEP_S)
+        return self._catalogue()
+
     async def _hold(self) -> None:
         """Wait until the view was confirmed after the pause, but not for long."""
         since = self._news_since
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -67,10 +67,15 @@
         item = PublishedItem("op/config", 1, make_config(1, **config))
         self.catalogue = PlatformItemDecoder().decode(item)
         self.items = ItemTable(self.clock)
+        self.make_desk()
+        self.replicas: list[StandInReplica] = []
+
+    def make_desk(self) -> None:
+        """Begin anew, as a process that starts."""
+        rng = random.Random(1)
         self.desk = QueryDesk(
             lambda: self.catalogue, self.items, self.tools, self.clock, rng, self.metrics
         )
-        self.replicas: list[StandInReplica] = []
 
     async def add(self, pool: str, zone: str = "a", **fields) -> StandInReplica:
         replica = StandInReplica(f"i-{len(self.replicas)}", **fields)
@@ -110,6 +115,25 @@
     ]
 
 
+@real
+async def test_a_request_at_the_start_waits_for_the_configuration_but_not_for_long():
+    rig = Rig()
+    await make_shards(rig)
+    known, rig.catalogue = rig.catalogue, None
+    rig.make_desk()
+    asked = asyncio.ensure_future(rig.ask("/s/x"))
+    await asyncio.sleep(0.05)
+    rig.catalogue = known
+    check.assertIsInstance(await asked, Gathered)
+    rig.catalogue = None
+    check.assertEqual(NotRunReason.NO_CONFIGURATION, (await rig.ask("/s/x")).outcome.reason)
+    # A process that has started refuses at once.
+    asked = asyncio.ensure_future(rig.ask("/s/x"))
+    await asyncio.sleep(0)
+    check.assertTrue(asked.done())
+    await rig.close()
+
+
 @real
 async def test_the_share_of_shards_in_an_answer_is_counted():
     rig = Rig()
