--- a/bergamotgate/standin/replica.py
+++ b/bergamotgate/standin/replica.py
@@ -182,6 +182,8 @@
 
 
 def _reset(writer: asyncio.StreamWriter) -> bool:
+    if writer.transport.is_closing():
+        return False  # the caller was faster
     linger_off = struct.pack("ii", 1, 0)
     own_socket = writer.get_extra_info("socket")
     own_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_off)
