--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -1,6 +1,8 @@
 """What the platform publishes reaches every VM, with few calls, and is never lost on the way."""
 
 import asyncio
+import random
+from operator import ge
 
 from bergamotgate.errors import PlatformUnavailable
 from bergamotgate.publication.follower import MAX_STEPS
@@ -59,6 +61,37 @@
     await fleet.close()
 
 
+@virtual
+async def test_views_never_go_back_and_agree_in_the_end_whatever_datagrams_are_lost():
+    for seed in range(6):
+        rng = random.Random(seed)
+        fleet = GatewayFleet(9)
+        fleet.source.publish("op/config", make_config(1))
+        await fleet.start(4.0)
+        fleet.faults.loss = lambda rng=rng: rng.random() < 0.25
+        highest = [0] * 9
+        living: set[str] = set()
+        for step in range(30):
+            for number in range(rng.choice((1, 5, 200))):
+                server = f"servers/i-{rng.randrange(300)}"
+                stays = rng.random() < 0.7
+                living = living | {server} if stays else living - {server}
+                address = f"10.1.{step}.{number}:80"
+                fleet.source.publish(server, make_server("p", address) if stays else None)
+            fleet.source.publish("op/config", make_config(2 + step))
+            await asyncio.sleep(rng.uniform(0.05, 0.8))
+            seen = [node.beliefs.catalogue.version for node in fleet.nodes]
+            check.assertTrue(all(map(ge, seen, highest)), (seed, seen, highest))
+            highest = seen
+        await asyncio.sleep(2 * STATED_IN_FORCE_S)
+        for node in fleet.nodes:
+            known = {item.key for item in node.items.present()} - {"op/config"}
+            check.assertEqual(living, known, (seed, node.settings.vm))
+            check.assertEqual(31, node.beliefs.catalogue.version)
+            check.assertEqual(len(living), node.beliefs.registry.count())
+        await fleet.close()
+
+
 class TurnedAwaySource:
     """A store that answers some VMs only, and counts who asks."""
 
