Bound replies without end, and deliver whole replies whatever follows them

Cause: a reply of a backend server was limited to 16 MiB by itself only, and a head as little as a body. A reply that was complete was thrown away when bytes that are no HTTP followed it in the same read, so work that had run was run again or reported as unknown. A reply without the attempt's identifier was taken for the waiting request's, so a late second copy without one could have reached the next caller.

Change: ReplyLimits (head 64 KiB, body 4 MiB, all incomplete replies of a process 16 MiB) and ReplyMemory, which ends the largest reply when the total is exceeded, so that sound servers are not cut off. Trailers are no headers. The store's answers are bounded at 32 MiB, those to the caller library at 16 MiB. A connection opened for a pool that was closed meanwhile is closed. A watch that returns an old value waits before the next one: the comparison was inverted.

--- a/bergamotgate/backend/http1.py
+++ b/bergamotgate/backend/http1.py
@@ -1,8 +1,8 @@
 """An HTTP/1.1 client connection to a backend server for one exchange at a time.
 
 A reply is accepted only if its framing is complete. Data that arrives without an outstanding
-request or after a complete reply belongs to no request, so the connection is closed. This module
-never retries a request.
+request or after a complete reply belongs to no request, so the connection is closed. A reply that
+exceeds the limits of its ``ReplyMemory`` ends the connection. This module never retries a request.
 """
 
 import asyncio
@@ -12,9 +12,10 @@
 
 import httptools
 
+from bergamotgate.backend.replymemory import ReplyLimits, ReplyMemory
+
 __all__ = ["ExchangeFailure", "Http1Connection", "RawReply"]
 
-MAX_REPLY_BYTES = 16 * 1024 * 1024
 # Idle connections are discarded this long before the server would close them.
 KEEP_ALIVE_MARGIN_S = 0.4
 DEFAULT_KEEP_ALIVE_S = 3.0
@@ -29,7 +30,7 @@
     CONNECTION_LOST = auto()
     MALFORMED = auto()
     TIMED_OUT = auto()
-    CANCELLED = auto()
+    OVERSIZED = auto()
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,12 +66,14 @@
         reusable_until: Time of the loop's clock until which another request may be sent.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop):
+    def __init__(self, loop: asyncio.AbstractEventLoop, memory: ReplyMemory):
         self._loop = loop
+        self._memory = memory
         self._transport: asyncio.Transport | None = None
         self._on_end: OnEnd | None = None
         self._parser: httptools.HttpResponseParser | None = None
-        self._received_bytes = 0
+        self._head_bytes = 0
+        self._body_bytes = 0
         self._keep_alive = False
         self.closed = False
         self.reusable_until = loop.time() + DEFAULT_KEEP_ALIVE_S
@@ -95,6 +98,10 @@
         self._on_end = None
         self._close()
 
+    def end_oversized(self) -> None:
+        """End the outstanding request because its reply is too large."""
+        self._end(ExchangeFailure.OVERSIZED)
+
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -106,16 +113,47 @@
         if self._on_end is None:
             self._close()
             return
-        self._received_bytes += len(data)
+        exchange = self._on_end
+        while data and self._on_end is exchange:
+            # Until the head is complete, no more than its limit allows may be parsed.
+            left_bytes = self._memory.limits.head_bytes - self._head_bytes
+            size = len(data) if self._headers_complete else left_bytes
+            self._feed(data[:size], more=len(data) > size)
+            data = data[size:]
+
+    def _feed(self, data: bytes, more: bool) -> None:
+        """Parse bytes of the reply; end the request if the reply is complete or wrong.
+
+        Args:
+            data: The bytes.
+            more: Whether further bytes were received with them.
+        """
+        limits = self._memory.limits
+        if self._headers_complete:
+            self._body_bytes += len(data)
+        else:
+            self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
-            self._end(ExchangeFailure.MALFORMED)
+            if self._complete:
+                self._keep_alive = False  # the error is in the bytes after the reply
+                self._finish()
+            else:
+                self._end(ExchangeFailure.MALFORMED)
             return
-        if self._received_bytes > MAX_REPLY_BYTES:
-            self._end(ExchangeFailure.MALFORMED)
-        elif self._complete:
+        if self._complete:
+            self._keep_alive &= not more
             self._finish()
+        elif self._exceeds(limits):
+            self.end_oversized()
+        else:
+            self._memory.hold(self, self._head_bytes + self._body_bytes)
+
+    def _exceeds(self, limits: ReplyLimits) -> bool:
+        if self._headers_complete:
+            return self._body_bytes > limits.body_bytes
+        return self._head_bytes >= limits.head_bytes
 
     def eof_received(self) -> None:
         """Complete a reply that has no length and is delimited by the end of the connection."""
@@ -135,8 +173,8 @@
         self._message_count += 1
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        if self._message_count == 1:
+        """Store a header; trailers are not used."""
+        if self._message_count == 1 and not self._headers_complete:
             pair = (name.decode("latin-1").lower(), value.decode("latin-1"))
             self._headers.append(pair)
 
@@ -158,7 +196,7 @@
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
         if self._message_count == 1:
-            self._body.append(body)
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Mark the reply as complete, or discard an informational (1xx) one that precedes it."""
@@ -172,20 +210,21 @@
     def _begin_message(self) -> None:
         if self._parser is None:
             self._parser = httptools.HttpResponseParser(self)
-        self._received_bytes = 0
+        self._head_bytes = 0
+        self._body_bytes = 0
         self._reset_message()
 
     def _reset_message(self) -> None:
         self._message_count = 0
         self._headers: list[tuple[str, str]] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._status = 0
         self._framed = False
         self._headers_complete = False
         self._complete = False
 
     def _finish(self) -> None:
-        reply = RawReply(self._status, tuple(self._headers), b"".join(self._body))
+        reply = RawReply(self._status, tuple(self._headers), bytes(self._body))
         request_unsent = self._transport.get_write_buffer_size() > 0
         if self._keep_alive and self._framed and self._message_count == 1 and not request_unsent:
             keep_alive_s = _keep_alive_s(reply)
@@ -196,7 +235,9 @@
 
     def _end(self, result: RawReply | ExchangeFailure) -> None:
         on_end, self._on_end = self._on_end, None
-        if not isinstance(result, RawReply):
+        if isinstance(result, RawReply):
+            self._memory.release(self)
+        else:
             self._close()
         if on_end is not None:
             on_end(result)
@@ -205,6 +246,8 @@
         if self.closed:
             return
         self.closed = True
+        self._memory.release(self)
+        self._body = bytearray()
         if self._transport is not None:
             self._transport.abort()
 
--- a/bergamotgate/backend/pool.py
+++ b/bergamotgate/backend/pool.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from bergamotgate.backend.http1 import ExchangeFailure, Http1Connection, OnEnd
+from bergamotgate.backend.replymemory import ReplyMemory
 from bergamotgate.metrics import Metrics
 from bergamotgate.wire.network import split_address
 
@@ -72,10 +73,11 @@
 class ServerConnections:
     """Opens, reuses and closes the connections to one backend server."""
 
-    def __init__(self, address: str, pool: str, metrics: Metrics):
+    def __init__(self, address: str, pool: str, metrics: Metrics, memory: ReplyMemory):
         self._address = address
         self._pool = pool
         self._metrics = metrics
+        self._memory = memory
         self._idle: list[Http1Connection] = []
         self._closed = False
 
@@ -106,7 +108,7 @@
             connection = await self._connect()
         except (OSError, TimeoutError):
             return False
-        self._idle.append(connection)
+        self._keep(connection)
         return True
 
     def close_idle(self) -> None:
@@ -120,6 +122,13 @@
         self._closed = True
         self.close_idle()
 
+    def _keep(self, connection: Http1Connection) -> None:
+        """Keep a connection for the next request, unless it or the pool is closed."""
+        if connection.reusable() and not self._closed:
+            self._idle.append(connection)
+        else:
+            connection.abort()
+
     def _pop_idle(self) -> Http1Connection | None:
         while self._idle:
             connection = self._idle.pop()
@@ -139,7 +148,7 @@
             return
         exchange.task = None
         if exchange.ended:
-            self._idle.append(connection)
+            self._keep(connection)
             return
         self._start(exchange, connection, request)
 
@@ -148,7 +157,7 @@
         host, port = split_address(self._address)
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             transport, connection = await loop.create_connection(
-                lambda: Http1Connection(loop), host, port
+                lambda: Http1Connection(loop, self._memory), host, port
             )
         self._metrics.connections.labels(self._pool, "opened").inc()
         tcp_socket = transport.get_extra_info("socket")
@@ -163,10 +172,9 @@
 
         def on_exchange_end(result: object) -> None:
             exchange.connection = None
-            if connection.reusable() and not self._closed:
-                self._idle.append(connection)
-            else:
-                connection.abort()
+            if result is ExchangeFailure.OVERSIZED:
+                self._metrics.wrong_replies.labels(self._pool, "oversized").inc()
+            self._keep(connection)
             exchange.finish(result)
 
         connection.exchange(request, on_exchange_end)
--- a/bergamotgate/caller/transport.py
+++ b/bergamotgate/caller/transport.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError, HTTPRequest
 
@@ -20,6 +21,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_CONNECTIONS = 200
+MAX_REPLY_BYTES = 16 * 1024 * 1024
 
 
 class NoReply(BergamotgateError):
@@ -112,9 +114,14 @@
             connect_timeout=min(message.timeout_s, CONNECT_TIMEOUT_S),
             follow_redirects=False,
             allow_nonstandard_methods=True,
+            prepare_curl_callback=_limit_reply,
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
         except (HTTPError, OSError) as error:
             raise NoReply(address, error) from error
         return CallerReply(response.code, response.headers, response.body)
+
+
+def _limit_reply(curl: pycurl.Curl) -> None:
+    curl.setopt(pycurl.MAXFILESIZE, MAX_REPLY_BYTES)
--- a/bergamotgate/config/follower.py
+++ b/bergamotgate/config/follower.py
@@ -110,7 +110,8 @@
         return succeeded
 
     def _is_stale(self, value: Published) -> bool:
-        return getattr(value, "revision", 0) > self._known_revision()
+        """Whether the revision in force is not the received one: an older or a rejected one."""
+        return getattr(value, "revision", 0) != self._known_revision()
 
     async def _poll(self) -> bool:
         """Read after the poll interval, or return early once this process becomes a watcher."""
--- a/bergamotgate/delegate/service.py
+++ b/bergamotgate/delegate/service.py
@@ -29,6 +29,7 @@
     ExchangeFailure.CONNECTION_LOST: ttypes.DelegatedEnd.DIED,
     ExchangeFailure.MALFORMED: ttypes.DelegatedEnd.GARBLED,
     ExchangeFailure.TIMED_OUT: ttypes.DelegatedEnd.TIMED_OUT,
+    ExchangeFailure.OVERSIZED: ttypes.DelegatedEnd.GARBLED,
 }
 
 OnReplies = Callable[[list[ttypes.DelegatedReply]], None]
--- a/bergamotgate/platform/replicacodec.py
+++ b/bergamotgate/platform/replicacodec.py
@@ -39,7 +39,9 @@
         """Decode a reply, or return why it does not belong to the request."""
         header_by_name = dict(raw.headers)
         echoed = header_by_name.get(ATTEMPT_ID)
-        if echoed is not None and echoed != request.attempt:
+        if echoed is None:
+            return WrongReplyReason.NO_ATTEMPT
+        if echoed != request.attempt:
             return WrongReplyReason.OTHER_ATTEMPT
         if header_by_name.get("content-encoding", "identity") != "identity":
             return WrongReplyReason.ENCODED
--- a/bergamotgate/platform/store.py
+++ b/bergamotgate/platform/store.py
@@ -21,6 +21,8 @@
 # A watch is answered at the latest after its wait; it times out this much later.
 WAIT_MARGIN_S = 0.6
 MAX_PAGES = 200
+# Longest answer that is read; a page holds about 1 MB, changes since an old revision more.
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
 GONE = 410
 
 
@@ -72,7 +74,9 @@
 
     async def _get(self, call: str, query: dict[str, str], timeout_s: float) -> dict[str, Any]:
         if self._client is None:
-            self._client = SimpleAsyncHTTPClient(force_instance=True)
+            self._client = SimpleAsyncHTTPClient(
+                force_instance=True, max_buffer_size=MAX_ANSWER_BYTES
+            )
         url = url_concat(f"{self._base}/{call}", query)
         try:
             response = await self._client.fetch(
--- a/bergamotgate/relay/messages.py
+++ b/bergamotgate/relay/messages.py
@@ -89,6 +89,7 @@
     """Why a reply was rejected as not being the server's reply to the request."""
 
     OTHER_ATTEMPT = "other_attempt"
+    NO_ATTEMPT = "no_attempt"
     ENCODED = "encoded"
     UNSIGNED = "unsigned"
 
@@ -101,6 +102,7 @@
     MALFORMED = "garbled"
     TIMED_OUT = "timed_out"
     WRONG_REPLY = "wrong_reply"
+    OVERSIZED = "oversized"
     DELEGATE_LOST = "delegate_lost"
     DELEGATE_UNREACHABLE = "delegate_unreachable"
 
--- a/bergamotgate/relay/sender.py
+++ b/bergamotgate/relay/sender.py
@@ -35,6 +35,7 @@
     ExchangeFailure.CONNECTION_LOST: SendFailure.CONNECTION_LOST,
     ExchangeFailure.MALFORMED: SendFailure.MALFORMED,
     ExchangeFailure.TIMED_OUT: SendFailure.TIMED_OUT,
+    ExchangeFailure.OVERSIZED: SendFailure.OVERSIZED,
 }
 
 
--- a/bergamotgate/relay/servers.py
+++ b/bergamotgate/relay/servers.py
@@ -1,6 +1,7 @@
 """Tracks load and connections of each registered server, and latency of each route."""
 
 from bergamotgate.backend.pool import ServerConnections
+from bergamotgate.backend.replymemory import ReplyLimits, ReplyMemory
 from bergamotgate.clock import Clock
 from bergamotgate.discovery.registry import ServerRegistry
 from bergamotgate.discovery.servers import DiscoveredServer
@@ -16,9 +17,16 @@
 class ServerTracker:
     """State of each registered server, created and dropped with its registration."""
 
-    def __init__(self, registry: ServerRegistry, clock: Clock, metrics: Metrics):
+    def __init__(
+        self,
+        registry: ServerRegistry,
+        clock: Clock,
+        metrics: Metrics,
+        reply_limits: ReplyLimits | None = None,
+    ):
         self._clock = clock
         self._metrics = metrics
+        self._reply_memory = ReplyMemory(reply_limits or ReplyLimits())
         self._load_by_server: dict[str, ServerLoad] = {}
         self._connections_by_server: dict[str, ServerConnections] = {}
         self._latency_by_route: dict[str, RouteLatency] = {}
@@ -54,7 +62,7 @@
     def _start(self, server: DiscoveredServer) -> None:
         self._load_by_server[server.server] = ServerLoad(self._clock, server.slots)
         self._connections_by_server[server.server] = ServerConnections(
-            server.address, server.pool, self._metrics
+            server.address, server.pool, self._metrics, self._reply_memory
         )
 
     def _end(self, server: DiscoveredServer) -> None:
--- a/bergamotgate/relay/single.py
+++ b/bergamotgate/relay/single.py
@@ -34,6 +34,7 @@
     SendFailure.CONNECTION_LOST: UnknownReason.CONNECTION_DIED,
     SendFailure.MALFORMED: UnknownReason.CONNECTION_DIED,
     SendFailure.WRONG_REPLY: UnknownReason.CONNECTION_DIED,
+    SendFailure.OVERSIZED: UnknownReason.CONNECTION_DIED,
     SendFailure.TIMED_OUT: UnknownReason.TIMED_OUT,
     SendFailure.DELEGATE_LOST: UnknownReason.CONNECTION_DIED,
 }
--- a/bergamotgate/standin/replica.py
+++ b/bergamotgate/standin/replica.py
@@ -17,6 +17,7 @@
 
 MAX_HEAD_BYTES = 64 * 1024
 FAULT_DELAY_S = 0.02
+ENDLESS_BLOCK = b"x" * 16 * 1024
 
 
 class Fault(Enum):
@@ -38,7 +39,10 @@
         ENCODED: Declare a content encoding.
         UNSIGNED: Reply without the server stamp.
         OTHER_ATTEMPT: Reply with the identifier of another attempt.
+        NO_ATTEMPT: Reply without the identifier of the attempt.
         NO_REPLY: Keep the connection open without a reply.
+        ENDLESS_HEAD: Send a header without end until the client closes.
+        ENDLESS_BODY: Send a body without end until the client closes.
     """
 
     NONE = auto()
@@ -56,7 +60,10 @@
     ENCODED = auto()
     UNSIGNED = auto()
     OTHER_ATTEMPT = auto()
+    NO_ATTEMPT = auto()
     NO_REPLY = auto()
+    ENDLESS_HEAD = auto()
+    ENDLESS_BODY = auto()
 
 
 @dataclass(frozen=True)
@@ -144,7 +151,9 @@
         """Answer one request; return whether to keep the connection open."""
         refusal = {Fault.SHED: "503 Service Unavailable", Fault.MISDIRECTED: "421 Misdirected"}
         if fault in refusal:
-            writer.write(_head(refusal[fault], 0, "X-Not-Executed: 1\r\n"))
+            attempt = request.headers.get("x-attempt-id", "")
+            refused = f"X-Attempt-Id: {attempt}\r\nX-Not-Executed: 1\r\n"
+            writer.write(_head(refusal[fault], 0, refused))
             return True
         if self.on_run is not None:
             self.on_run(self)
@@ -173,9 +182,8 @@
         attempt = request.headers.get("x-attempt-id", "")
         echoed_attempt = "somebody-else" if fault is Fault.OTHER_ATTEMPT else attempt
         stamp_header = f"X-Server-Stamp: {self.server}.{attempt}\r\n"
-        extra = f"X-Attempt-Id: {echoed_attempt}\r\n" + (
-            stamp_header if fault is not Fault.UNSIGNED else ""
-        )
+        extra = "" if fault is Fault.NO_ATTEMPT else f"X-Attempt-Id: {echoed_attempt}\r\n"
+        extra += "" if fault is Fault.UNSIGNED else stamp_header
         if fault is Fault.ENCODED:
             extra += "Content-Encoding: gzip\r\n"
         status = "500 Internal Server Error" if fault is Fault.ERROR else "200 OK"
@@ -186,6 +194,10 @@
                 return _reset(writer)
             case Fault.NO_REPLY:
                 await asyncio.sleep(3600)
+            case Fault.ENDLESS_HEAD:
+                await _write_until_closed(writer, b"HTTP/1.1 200 OK\r\nX-Long: ")
+            case Fault.ENDLESS_BODY:
+                await _write_until_closed(writer, f"HTTP/1.1 200 OK\r\n{extra}\r\n".encode())
             case Fault.TRUNCATED:
                 writer.write(response[:-1])
                 return False
@@ -226,6 +238,14 @@
     return False
 
 
+async def _write_until_closed(writer: asyncio.StreamWriter, start: bytes) -> None:
+    """Write without end; raises ``ConnectionError`` once the client has closed the connection."""
+    writer.write(start)
+    while True:
+        writer.write(ENDLESS_BLOCK)
+        await writer.drain()
+
+
 async def _read(reader: asyncio.StreamReader) -> ReceivedRequest:
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode("latin-1").split("\r\n")
--- a/tests/test_delegate.py
+++ b/tests/test_delegate.py
@@ -178,6 +178,8 @@
 async def test_delegate_does_not_forward_wrong_replies():
     for fault in (
         Fault.OTHER_ATTEMPT,
+        Fault.NO_ATTEMPT,
+        Fault.ENDLESS_BODY,
         Fault.MALFORMED,
         Fault.TRUNCATED,
         Fault.UNSIGNED,
--- /dev/null
+++ b/tests/test_http1.py
@@ -0,0 +1,228 @@
+"""Tests for the connections to backend servers whose bytes are no reply, over real sockets."""
+
+import asyncio
+import itertools
+import tracemalloc
+from collections.abc import Awaitable, Callable, Iterator
+
+from bergamotgate.backend.http1 import ExchangeFailure, RawReply
+from bergamotgate.backend.pool import ServerConnections
+from bergamotgate.backend.replymemory import ReplyLimits, ReplyMemory
+from bergamotgate.metrics import Metrics
+from tests.support import check, make_load_tests, real_time
+
+REQUEST = b"GET /s/q HTTP/1.1\r\nHost: x.example\r\n\r\n"
+LIMITS = ReplyLimits(head_bytes=16 * 1024, body_bytes=256 * 1024, total_bytes=1024 * 1024)
+OK_HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED_HEAD = OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+WHOLE_REPLY = OK_HEAD + b"Content-Length: 4\r\n\r\nbody"
+BLOCK = 32 * 1024
+
+ENDLESS_REPLIES = {
+    "no reply": (b"", b"x" * BLOCK),
+    "status line": (b"HTTP/1.1 200 ", b"O" * BLOCK),
+    "header name": (OK_HEAD, b"n" * BLOCK),
+    "header value": (OK_HEAD + b"X-Long: ", b"v" * BLOCK),
+    "headers": (OK_HEAD, b"a: b\r\n" * (BLOCK // 6)),
+    "informational replies": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * (BLOCK // 25)),
+    "chunk size": (CHUNKED_HEAD, b"0" * BLOCK),
+    "chunk extension": (CHUNKED_HEAD + b"4;", b"e" * BLOCK),
+    "chunks": (CHUNKED_HEAD, b"2\r\nab\r\n" * (BLOCK // 7)),
+    "trailers": (CHUNKED_HEAD + b"0\r\n", b"a: b\r\n" * (BLOCK // 6)),
+    "trailer value": (CHUNKED_HEAD + b"0\r\nX-Long: ", b"v" * BLOCK),
+    "body with length": (OK_HEAD + b"Content-Length: 99999999999\r\n\r\n", b"r" * BLOCK),
+    "body without length": (OK_HEAD + b"\r\n", b"r" * BLOCK),
+}
+
+
+class ByteServer:
+    """A server that answers each request with the next reply, given as pieces of bytes.
+
+    Attributes:
+        sent_bytes: Bytes of replies that the kernel accepted.
+        connections: Number of connections accepted.
+    """
+
+    def __init__(self, replies: Iterator[Iterator[bytes]], pause_s: float = 0.0):
+        self._replies = replies
+        self._pause_s = pause_s
+        self.sent_bytes = 0
+        self.connections = 0
+
+    async def start(self) -> str:
+        self._listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{self._listener.sockets[0].getsockname()[1]}"
+
+    async def close(self) -> None:
+        self._listener.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                for piece in next(self._replies):
+                    writer.write(piece)
+                    await writer.drain()
+                    self.sent_bytes += len(piece)
+                    await asyncio.sleep(self._pause_s)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass  # the client closed the connection, or the test is over
+        finally:
+            writer.close()
+
+
+def endless(start: bytes, block: bytes) -> Iterator[bytes]:
+    return itertools.chain([start + block], itertools.repeat(block))
+
+
+async def exchange(connections: ServerConnections, timeout_s: float = 20.0) -> object:
+    """Sends a request and returns its reply or failure."""
+    ended = asyncio.get_running_loop().create_future()
+    connections.send(REQUEST, timeout_s, False, ended.set_result)
+    return await ended
+
+
+async def with_server(
+    server: ByteServer,
+    test: Callable[[ServerConnections, Metrics], Awaitable[None]],
+    memory: ReplyMemory | None = None,
+) -> None:
+    address = await server.start()
+    metrics = Metrics()
+    connections = ServerConnections(address, "shard", metrics, memory or ReplyMemory(LIMITS))
+    await test(connections, metrics)
+    connections.close()
+    await server.close()
+    await asyncio.sleep(0)
+
+
+@real_time
+async def test_bytes_without_end_are_cut_off_wherever_they_come():
+    most_sent = 8 * 1024 * 1024  # limits, and what the buffers of two sockets hold
+    for place, (start, block) in ENDLESS_REPLIES.items():
+        server = ByteServer(iter([endless(start, block)]))
+
+        async def run(connections: ServerConnections, metrics: Metrics, place: str = place) -> None:
+            result = await exchange(connections)
+            check.assertIn(result, (ExchangeFailure.OVERSIZED, ExchangeFailure.MALFORMED), place)
+
+        await with_server(server, run)
+        check.assertLess(server.sent_bytes, most_sent, place)
+
+
+@real_time
+async def test_an_oversized_reply_is_counted():
+    server = ByteServer(iter([endless(*ENDLESS_REPLIES["body without length"])]))
+
+    async def run(connections: ServerConnections, metrics: Metrics) -> None:
+        check.assertIs(ExchangeFailure.OVERSIZED, await exchange(connections))
+        count = 'bergamotgate_wrong_replies_total{pool="shard",reason="oversized"} 1.0'
+        check.assertIn(count, metrics.text().decode())
+
+    await with_server(server, run)
+
+
+@real_time
+async def test_bytes_without_end_one_at_a_time_end_with_the_time_limit():
+    for start, block in ENDLESS_REPLIES.values():
+        server = ByteServer(iter([endless(start, block[:1])]), pause_s=0.002)
+
+        async def run(connections: ServerConnections, metrics: Metrics) -> None:
+            result = await exchange(connections, timeout_s=0.1)
+            check.assertIn(result, (ExchangeFailure.TIMED_OUT, ExchangeFailure.MALFORMED))
+
+        await with_server(server, run)
+
+
+@real_time
+async def test_many_endless_replies_together_hold_bounded_memory():
+    starts = [start_and_block for start_and_block in ENDLESS_REPLIES.values()] * 4
+    memory = ReplyMemory(LIMITS)
+    server = ByteServer(endless(*reply) for reply in starts)
+
+    async def run(connections: ServerConnections, metrics: Metrics) -> None:
+        tracemalloc.start()
+        results = await asyncio.gather(*(exchange(connections) for _ in starts))
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        check.assertFalse([r for r in results if isinstance(r, RawReply)])
+        # What is held, the same again while a buffer grows, and reads in progress.
+        check.assertLess(peak_bytes, 4 * LIMITS.total_bytes + len(starts) * 8 * BLOCK)
+        check.assertEqual(0, memory.held_bytes)
+
+    await with_server(server, run, memory)
+
+
+@real_time
+async def test_endless_replies_of_one_server_do_not_cut_replies_of_another():
+    limits = ReplyLimits(head_bytes=16 * 1024, body_bytes=256 * 1024, total_bytes=300 * 1024)
+    memory = ReplyMemory(limits)
+    body = b"b" * (100 * 1024)
+    head = OK_HEAD + b"Content-Length: %d\r\n\r\n" % len(body)
+    pieces = [head, *(body[n : n + 1024] for n in range(0, len(body), 1024))]
+    sound = ByteServer(iter(iter(pieces) for _ in range(3)), pause_s=0.001)
+    faulty = ByteServer(endless(*ENDLESS_REPLIES["body without length"]) for _ in range(40))
+    faulty_address = await faulty.start()
+    faulty_connections = ServerConnections(faulty_address, "faulty", Metrics(), memory)
+
+    async def run(connections: ServerConnections, metrics: Metrics) -> None:
+        flood = [asyncio.ensure_future(exchange(faulty_connections)) for _ in range(40)]
+        results = await asyncio.gather(*(exchange(connections) for _ in range(3)))
+        check.assertEqual([body] * 3, [getattr(result, "body", result) for result in results])
+        await asyncio.gather(*flood)
+
+    await with_server(sound, run, memory)
+    faulty_connections.close()
+    await faulty.close()
+
+
+@real_time
+async def test_a_complete_reply_is_delivered_whatever_follows_it():
+    for rest in (b"\x00\x01 no answer", WHOLE_REPLY, b"HTTP/1.1 ", b"x" * BLOCK):
+        server = ByteServer(iter([iter([WHOLE_REPLY + rest]), iter([WHOLE_REPLY])]))
+
+        async def run(connections: ServerConnections, metrics: Metrics, rest: bytes = rest) -> None:
+            for _ in range(2):
+                result = await exchange(connections)
+                check.assertIsInstance(result, RawReply, rest[:20])
+                check.assertEqual(b"body", result.body)
+
+        await with_server(server, run)
+        check.assertEqual(2, server.connections, "the connection was used again")
+
+
+@real_time
+async def test_a_reply_behind_a_complete_one_reaches_no_request_sent_meanwhile():
+    limits = ReplyLimits(head_bytes=len(WHOLE_REPLY))
+    server = ByteServer(
+        iter([iter([WHOLE_REPLY + b"HTTP/1.1 200 OK\r\n\r\n"]), iter([WHOLE_REPLY])])
+    )
+
+    async def run(connections: ServerConnections, metrics: Metrics) -> None:
+        ended = asyncio.get_running_loop().create_future()
+
+        def send_again(first: object) -> None:
+            connections.send(REQUEST, 1.0, False, ended.set_result)
+
+        connections.send(REQUEST, 1.0, False, send_again)
+        check.assertEqual(b"body", (await ended).body)
+
+    await with_server(server, run, ReplyMemory(limits))
+    check.assertEqual(2, server.connections)
+
+
+@real_time
+async def test_trailers_are_not_headers():
+    reply = CHUNKED_HEAD + b"4\r\nbody\r\n0\r\nX-Late: 1\r\n\r\n"
+    server = ByteServer(iter([iter([reply])]))
+
+    async def run(connections: ServerConnections, metrics: Metrics) -> None:
+        result = await exchange(connections)
+        check.assertEqual(b"body", result.body)
+        check.assertIsNone(result.header("x-late"))
+
+    await with_server(server, run)
+
+
+load_tests = make_load_tests(globals())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import json
+import random
 
+from bergamotgate.clock import LoopClock
 from bergamotgate.config import Canary
+from bergamotgate.config.follower import Follower
 from bergamotgate.config.memory import MemoryVmListService
-from bergamotgate.config.service import PublishedVmList
+from bergamotgate.config.service import PublishedTables, PublishedVmList
 from bergamotgate.errors import PlatformUnavailable, VmListRejected
 from bergamotgate.membership.liststore import VmListStore
 from bergamotgate.membership.vmlist import read_vm_list
@@ -69,6 +72,41 @@
     check.assertLessEqual(await count_platform_calls(15), max_calls)
 
 
+class StaleService:
+    """A service whose watch returns an old value at once."""
+
+    def __init__(self):
+        self.watches = 0
+
+    async def read(self) -> PublishedTables:
+        return PublishedTables(1, "", "")
+
+    async def watch(self, after: int, wait_s: float) -> PublishedTables:
+        self.watches += 1
+        return PublishedTables(after - 1, "", "")
+
+
+@virtual_time
+async def test_stale_answers_do_not_turn_a_watch_into_a_busy_loop():
+    service = StaleService()
+    follower = Follower(
+        "service",
+        service,
+        known_revision=lambda: 5,
+        is_watcher=lambda: True,
+        fleet_size=lambda: 3,
+        on_value=lambda value: None,
+        confirm=lambda at: None,
+        clock=LoopClock(),
+        rng=random.Random(1),
+        metrics=Metrics(),
+    )
+    follower.start()
+    await asyncio.sleep(10.0)
+    await follower.close()
+    check.assertLessEqual(service.watches, 11)
+
+
 @virtual_time
 async def test_started_vm_learns_the_quarantined_requests():
     fleet = Fleet(make_deployment(shards=2), 3)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -40,7 +40,10 @@
     Fault.ENCODED,
     Fault.UNSIGNED,
     Fault.OTHER_ATTEMPT,
+    Fault.NO_ATTEMPT,
     Fault.CLOSE_WITHOUT_RUN,
+    Fault.ENDLESS_HEAD,
+    Fault.ENDLESS_BODY,
 )
 
 
