Keep withdrawn servers withdrawn on VMs that lag, and shrink membership and parts between zones

Cause 1: a table dropped the withdrawal of an item it did not hold, so a peer that lagged and asked it for the changes since then kept the item; and an answer that was overtaken brought back an item withdrawn since. Change: tombstones of unknown items are kept, and a change up to the table's revision is not applied.

Change: datagrams and delegated frames above 384 bytes are compressed, and two of three gossip copies stay in their zone.

--- a/bergamotgate/delegate/link.py
+++ b/bergamotgate/delegate/link.py
@@ -22,7 +22,7 @@
     SendFailure,
     ServerReply,
 )
-from bergamotgate.wire.codec import WIRE_VERSION, decode_frame, encode
+from bergamotgate.wire.codec import WIRE_VERSION, decode_frame, encode, encode_compressed
 from bergamotgate.wire.generated import ttypes
 from bergamotgate.wire.liveness import LivenessMonitor
 from bergamotgate.wire.network import FrameStream, Network
@@ -218,7 +218,7 @@
             delegated_cancels=cancels or None,
         )
         try:
-            self._stream.send(encode(frame))
+            self._stream.send(encode_compressed(frame))
         except LinkLost:
             self._fail("is lost")
 
--- a/bergamotgate/gateway/peers.py
+++ b/bergamotgate/gateway/peers.py
@@ -72,6 +72,7 @@
 
 def _send_replies(stream: FrameStream, replies: list[ttypes.DelegatedReply]) -> None:
     try:
-        stream.send(encode(ttypes.Frame(version=WIRE_VERSION, delegated_replies=replies)))
+        frame = ttypes.Frame(version=WIRE_VERSION, delegated_replies=replies)
+        stream.send(encode_compressed(frame))
     except LinkLost:
         return  # the receive loop sees the lost connection too and closes the session
--- a/bergamotgate/membership/prober.py
+++ b/bergamotgate/membership/prober.py
@@ -25,6 +25,11 @@
 PROCESS_CHECK_TIMEOUT_S = 0.25
 INDIRECT_PROBES = 3
 GOSSIP_FANOUT = 3
+# Of the members that a change is gossiped to, this many are in other availability zones: enough for
+# a change to spread, while most copies of it stay where traffic costs little.
+GOSSIP_FANOUT_OTHER_ZONES = 1
+# In a smaller fleet traffic between zones is little, and members are chosen from all zones alike.
+MIN_MEMBERS_FOR_ZONE_PREFERENCE = 16
 GOSSIP_DELAY_S = 0.005
 UPDATE_TRANSMISSIONS = 6
 RECORDS_PER_DATAGRAM = 12
@@ -115,7 +120,7 @@
 
     def gossip_revisions(self) -> None:
         """Announce new revisions of the tables or the VM list to a few members at once."""
-        for member in self._sample_alive(GOSSIP_FANOUT):
+        for member in self._gossip_targets():
             self._port.send(member.peer, members=[])
 
     async def reconfirm(self, wait_s: float) -> bool:
@@ -346,7 +351,7 @@
         self._record_to_gossip_by_vm.clear()
         for start in range(0, len(records), RECORDS_PER_DATAGRAM):
             chunk = records[start : start + RECORDS_PER_DATAGRAM]
-            for member in self._sample_alive(GOSSIP_FANOUT):
+            for member in self._gossip_targets():
                 self._port.send(member.peer, members=chunk)
 
     def _piggybacked_updates(self) -> list[MemberRecord]:
@@ -358,6 +363,22 @@
                 del self._pending_update_by_vm[vm]
         return [pending.record for _, pending in chosen]
 
+    def _gossip_targets(self) -> list[Member]:
+        """Choose members at random, one in another zone and the others in this VM's own zone.
+
+        Where one of the groups is too small, the other one makes up for it.
+        """
+        alive = self._members.others((MemberState.ALIVE,))
+        if len(alive) < MIN_MEMBERS_FOR_ZONE_PREFERENCE:
+            return self._sample_alive(GOSSIP_FANOUT)
+        self._rng.shuffle(alive)
+        own_zone = self._members.own.zone
+        near = [member for member in alive if member.zone == own_zone]
+        far = [member for member in alive if member.zone != own_zone]
+        far_count = max(GOSSIP_FANOUT_OTHER_ZONES, GOSSIP_FANOUT - len(near))
+        chosen = far[:far_count]
+        return chosen + near[: GOSSIP_FANOUT - len(chosen)]
+
     def _sample_alive(self, count: int, exclude: str = "") -> list[Member]:
         alive = [m for m in self._members.others((MemberState.ALIVE,)) if m.vm != exclude]
         return self._rng.sample(alive, min(count, len(alive)))
--- a/bergamotgate/publication/items.py
+++ b/bergamotgate/publication/items.py
@@ -62,12 +62,15 @@
     ) -> list[PublishedItem] | None:
         """Apply all changes after one revision up to another.
 
+        Changes up to ``as_of`` are known already. One that the table lacks concerns an item that
+        was withdrawn later, and must not bring it back.
+
         Returns:
             The items that changed in this table; None when changes before ``since`` are missing.
         """
         if since > self.as_of:
             return None
-        changed = [item for item in items if self._store(item)]
+        changed = [item for item in items if item.revision > self.as_of and self._store(item)]
         self.as_of = max(self.as_of, as_of)
         self._notify(changed)
         return changed
@@ -101,15 +104,15 @@
         return [item for item in self._item_by_key.values() if item.value is not None]
 
     def _store(self, item: PublishedItem) -> bool:
+        """Store an item unless a newer one is known; return whether what is published changed."""
         known = self._item_by_key.get(item.key)
         if known is not None and item.revision <= known.revision:
             return False
-        if known is None and item.value is None:
-            return False
+        # The withdrawal of an unknown item is kept too: a peer that lags may know the item.
         self._item_by_key[item.key] = item
         if item.value is None:
             self._drop_oldest_tombstones()
-        return True
+        return known is not None or item.value is not None
 
     def _drop_oldest_tombstones(self) -> None:
         tombstones = [item for item in self._item_by_key.values() if item.value is None]
--- a/bergamotgate/wire/codec.py
+++ b/bergamotgate/wire/codec.py
@@ -25,8 +25,8 @@
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 # Limit on a datagram's size after decompression.
 MAX_DECOMPRESSED_DATAGRAM_BYTES = 256 * 1024
-# Compression gains nothing for messages up to this size.
-COMPRESSION_THRESHOLD_BYTES = 1024
+# Compression gains too little for messages up to this size.
+COMPRESSION_THRESHOLD_BYTES = 384
 # The fastest level; registrations are repetitive, so it already saves four fifths of the size.
 COMPRESSION_LEVEL = 1
 # First byte of a zlib stream; no encoded Thrift struct starts with it.
--- a/bergamotgate/wire/port.py
+++ b/bergamotgate/wire/port.py
@@ -10,7 +10,6 @@
     MAX_DATAGRAM_BYTES,
     WIRE_VERSION,
     decode_datagram,
-    encode,
     encode_compressed,
 )
 from bergamotgate.wire.generated.ttypes import Datagram, RevisionMark
@@ -53,8 +52,8 @@
             self._port = None
 
     def send(self, address: str, **fields: object) -> None:
-        """Send a datagram with the given fields."""
-        self._send_bytes([address], encode(self._with_header(fields)))
+        """Send a datagram with the given fields, compressed if it is long."""
+        self._send_bytes([address], encode_compressed(self._with_header(fields)))
 
     def send_compressed(self, addresses: Iterable[str], **fields: object) -> bool:
         """Send one compressed datagram to many peers; return False if it exceeds the size limit."""
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -4,7 +4,9 @@
 import random
 from operator import ge
 
+from bergamotgate.clock import LoopClock
 from bergamotgate.errors import PlatformUnavailable
+from bergamotgate.publication import UNREAD, ItemTable, PublishedItem
 from bergamotgate.publication.follower import FULL_STEP_RANKS
 from tests.gateways import GatewayFleet, make_config, make_server
 from tests.support import check, make_load_tests, virtual_time
@@ -61,6 +63,26 @@
     await fleet.close()
 
 
+@virtual_time
+async def test_a_late_answer_does_not_bring_back_an_item_withdrawn_since():
+    table = ItemTable(LoopClock())
+    table.merge(UNREAD, 5, [])
+    table.merge(5, 10, [PublishedItem("servers/i-1", 9, None)])
+    table.merge(5, 8, [PublishedItem("servers/i-1", 7, b"registered")])
+    check.assertEqual([], table.present())
+
+
+@virtual_time
+async def test_a_peer_learns_of_a_withdrawal_from_a_table_that_never_held_the_item():
+    lagging, table = ItemTable(LoopClock()), ItemTable(LoopClock())
+    lagging.merge(UNREAD, 5, [PublishedItem("servers/i-1", 5, b"registered")])
+    table.merge(UNREAD, 4, [])
+    # The update from 4 to 8 holds only the last change of each item.
+    table.merge(4, 8, [PublishedItem("servers/i-1", 7, None)])
+    lagging.merge(5, table.as_of, table.changes_after(5))
+    check.assertEqual([], lagging.present())
+
+
 @virtual_time
 async def test_views_never_regress_and_converge_under_datagram_loss():
     for seed in range(6):
