Do not repeat a request without a key, and avoid the VM that failed after a redirect

Cause: the caller library sent a request that may run once again after a lost reply even where the fleet had given it no token, so it carried no key and could have run four times. After a redirect it avoided the VM that had redirected, not the one that did not reply. Found by reading; tests/test_caller.py fails 2 of 3 on the old code (4 sendings instead of 1). Tests too for a planned stop under load, and for running work whose server is withdrawn; both held already.

--- a/bergamotgate/caller/caller.py
+++ b/bergamotgate/caller/caller.py
@@ -154,18 +154,21 @@
                 return result
             if result.reason in KEEPER_FAILURE_REASONS:
                 self._addresses_valid_until = float("-inf")  # later requests need another keeper
-            if not self._may_retry(result):
-                return result
+            if not self._may_retry(result) or (
+                once and key is None and result.outcome != "not_run"
+            ):
+                return result  # without a key the fleet cannot tell a repetition
             if once and result.outcome == "not_run":
                 key = None
-            self._avoid_address(address)
+            # After a redirect it is another VM that failed.
+            self._avoid_address(last.vm or address)
         return result
 
     async def _send_to(self, address: str, message: CallerMessage) -> CallerResult:
         try:
             reply, vm = await self._fetch(address, message)
-        except NoReply:
-            return CallerResult(False, "unknown", "no_answer")
+        except NoReply as error:
+            return CallerResult(False, "unknown", "no_answer", vm=error.address)
         if reply.status == HTTP_REDIRECT:
             return CallerResult(False, "not_run", "redirects", vm=vm)
         return _parse_reply(reply, vm)
--- /dev/null
+++ b/tests/test_caller.py
@@ -0,0 +1,66 @@
+"""Tests for the caller library against VMs that answer, redirect or do not reply."""
+
+import json
+import random
+
+from bergamotgate.caller.caller import Caller
+from bergamotgate.caller.transport import CallerMessage, CallerReply, NoReply
+from tests.support import check, make_load_tests, virtual_time
+
+VMS = ("10.0.0.1:1", "10.0.0.2:1")
+
+
+class FakeFleet:
+    """Lists its VMs, and handles each request as the mapping by address says.
+
+    Attributes:
+        received: Address and headers of each request, those for addresses not counted.
+    """
+
+    def __init__(self, token: str | None, redirect_from: str = ""):
+        self._token = token
+        self._redirect_from = redirect_from
+        self.received: list[tuple[str, dict[str, str]]] = []
+
+    async def fetch(self, address: str, message: CallerMessage) -> CallerReply:
+        if message.path.startswith("/-/addresses"):
+            entries = [{"http": vm} for vm in VMS]
+            answer = {"addresses": entries, "token": self._token, "keep_s": 30}
+            return CallerReply(200, {}, json.dumps(answer).encode())
+        self.received.append((address, message.headers))
+        if address == self._redirect_from:
+            return CallerReply(307, {"Location": f"http://{VMS[1]}{message.path}"}, b"")
+        raise NoReply(address)
+
+
+def make_caller(fleet: FakeFleet) -> Caller:
+    return Caller(list(VMS), transport=fleet, rng=random.Random(1))
+
+
+@virtual_time
+async def test_a_request_that_may_run_once_is_not_repeated_without_a_key():
+    fleet = FakeFleet(token=None)
+    result = await make_caller(fleet).send("POST", "/book", b"", once=True)
+    check.assertEqual(("unknown", "no_answer"), (result.outcome, result.reason))
+    check.assertEqual(1, len(fleet.received))
+
+
+@virtual_time
+async def test_a_request_with_a_key_is_repeated_under_the_same_key():
+    fleet = FakeFleet(token="vm.1.2")
+    await make_caller(fleet).send("POST", "/book", b"", once=True)
+    keys = {headers["X-Key"] for _, headers in fleet.received}
+    check.assertGreater(len(fleet.received), 1)
+    check.assertEqual(1, len(keys))
+
+
+@virtual_time
+async def test_after_a_redirect_the_vm_that_did_not_reply_is_avoided():
+    fleet = FakeFleet(token="vm.1.2", redirect_from=VMS[0])
+    caller = make_caller(fleet)
+    await caller.send("GET", "/search", b"")
+    check.assertTrue(caller._is_avoided(VMS[1]))
+    check.assertFalse(caller._is_avoided(VMS[0]))
+
+
+load_tests = make_load_tests(globals())
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -1,6 +1,7 @@
 """Tests for the client-facing HTTP side over real sockets: answers, invalid input and drain."""
 
 import asyncio
+import itertools
 import socket
 from types import SimpleNamespace
 
@@ -101,6 +102,43 @@
     writer.close()
 
 
+async def stop_under_load(drain_s: float) -> set[str]:
+    """Stops an ingress under load; returns the requests that it read and did not answer."""
+    handler = FakeHandler(delay_s=0.03)
+    ingress = make_ingress(handler)
+    host, port = ingress.settings.front.split(":")
+    answered: set[str] = set()
+    numbers = itertools.count()
+
+    async def send_until_closed() -> None:
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            while True:
+                attempt = f"a{next(numbers)}"
+                writer.write(REQUEST.replace(b"a1", attempt.encode()))
+                await reader.readuntil(b"\r\n\r\n" + b"r" * 16)
+                answered.add(attempt)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    clients = [asyncio.ensure_future(send_until_closed()) for _ in range(30)]
+    await asyncio.sleep(0.2)
+    handler.draining = True
+    await ingress.drain(await deadline_in(drain_s))
+    await asyncio.gather(*clients)
+    return {request.attempt for request in handler.requests} - answered
+
+
+@real_time
+async def test_planned_stop_under_load_answers_every_request_it_has_read():
+    check.assertEqual(set(), await stop_under_load(drain_s=5.0))
+
+
+@real_time
+async def test_a_stop_without_time_to_drain_is_seen_to_cut_requests():
+    check.assertNotEqual(set(), await stop_under_load(drain_s=0.0))
+
+
 @real_time
 async def test_request_without_attempt_id_is_rejected():
     ingress = make_ingress(FakeHandler())
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -294,6 +294,24 @@
     await relay.close()
 
 
+@real_time
+async def test_running_work_is_neither_given_up_nor_repeated_when_its_server_is_withdrawn():
+    for path, method in (("/b/1", "POST"), ("/s/q", "GET")):
+        relay = RelayFixture(targetLatencyMs=2000)
+        await relay.add_server("desk", body=b"booked", service_s=0.2)
+        for pool in relay.catalogue.routes[0].shards.pools:
+            await relay.add_server(pool, body=record(1), service_s=0.2)
+        answer_task = asyncio.ensure_future(relay.send_request(path, method))
+        await asyncio.sleep(0.1)
+        for replica in relay.replicas:
+            relay.registry.withdraw(replica.server, False)
+        answer = await answer_task
+        check.assertNotIsInstance(answer, FailedAnswer, path)
+        runs = [replica.run_count for replica in relay.replicas if replica.received_requests]
+        check.assertEqual([1] * len(runs), runs, path)
+        await relay.close()
+
+
 @real_time
 async def test_server_error_of_a_non_idempotent_request_is_forwarded_unchanged():
     relay = RelayFixture()
