Answer without waiting for a shard whose servers refuse connections

A query over a shard without any server waited the same way. Refused connections without end also raised an OverflowError in the backoff (after 1,024 failures in a row), so a sub-request got no result. Ruled out: hedges and budgets (60 denied), restarts, the store.

Change: a shard counts as unavailable once all its servers have refused this query, and is tried anew every 50 ms; a query whose other shards have replied is answered then, with the shard as missing, if its route allows that. One first sub-request a shard counts in the budget. The backoff's doublings are bounded.

Measured: tests/test_relay.py plays 20 queries with a shard down, objective 60 s; on the old code the first one times out after 30 s (refused, and withdrawn), on this all are answered with at most 60 refused connections.

--- a/bergamotgate/placement/chooser.py
+++ b/bergamotgate/placement/chooser.py
@@ -69,9 +69,11 @@
             candidates.remove(best)
         return None
 
-    def has_servers(self, pool: str) -> bool:
-        """Return whether any server of a pool accepts new requests."""
-        return self._registry.has_usable(pool)
+    def has_servers(self, pool: str, excluded: Collection[str] = ()) -> bool:
+        """Return whether any server of a pool, apart from those excluded, accepts new requests."""
+        if not excluded:
+            return self._registry.has_usable(pool)
+        return any(server.server not in excluded for server in self._registry.usable(pool))
 
     def _candidates(
         self, rules: PoolRules, excluded: Collection[str], allowed: Collection[str] | None
--- a/bergamotgate/placement/load.py
+++ b/bergamotgate/placement/load.py
@@ -24,6 +24,8 @@
 # Backoff after a failure, doubled by each consecutive one.
 BACKOFF_INITIAL_S = 0.25
 BACKOFF_MAX_S = 4.0
+# The backoff has reached its limit after so many doublings; more would overflow in the end.
+MAX_BACKOFF_DOUBLINGS = 8
 # A request cancelled after more than this many medians marks its server as unresponsive. From the
 # threshold on, each such request without a successful reply in between counts as a failure.
 UNRESPONSIVE_MEDIANS = 2.0
@@ -129,7 +131,8 @@
     def note_failure(self) -> None:
         """Start a backoff that doubles with each consecutive failure, up to a limit."""
         self.failures += 1
-        backoff_s = min(BACKOFF_MAX_S, BACKOFF_INITIAL_S * 2 ** (self.failures - 1))
+        doublings = min(MAX_BACKOFF_DOUBLINGS, self.failures - 1)
+        backoff_s = min(BACKOFF_MAX_S, BACKOFF_INITIAL_S * 2**doublings)
         self._backoff_until = self._clock.now() + backoff_s
 
     def note_shed(self) -> None:
--- a/bergamotgate/relay/scatter.py
+++ b/bergamotgate/relay/scatter.py
@@ -2,7 +2,7 @@
 
 A sub-request that takes longer than most is hedged with one to another server. At the latency
 objective a partial answer that states the number of missing shards is sent, if enough shards for
-the route have replied.
+the route have replied. It is sent earlier if only shards without an available server are missing.
 """
 
 from collections import Counter
@@ -48,17 +48,33 @@
 SWEEP_INTERVAL_S = 0.008
 LATE_SWEEP_INTERVAL_S = 0.040
 NO_SERVER_RETRY_S = 1.0
+# A shard whose servers all refuse connections is tried again after this time.
+UNAVAILABLE_RETRY_S = 0.05
 
 
 @dataclass(slots=True)
 class _Shard:
-    """State of one shard of the query."""
+    """State of one shard of the query.
+
+    Attributes:
+        pool: Name of its pool.
+        reply: Its reply, once there is one.
+        sub_attempts: Sub-requests in progress.
+        tried: Servers that a sub-request may have reached.
+        refused: Servers that could not be reached since the shard was last tried anew.
+        counted: Whether the first sub-request is counted in the pool's budget.
+        budget_exhausted: Whether a further sub-request was denied by the pool's budget.
+        retry_at: While no server is available, the time on the local clock of the next try.
+    """
 
     pool: str
     reply: ServerReply | None = None
     sub_attempts: list[SubAttempt] = field(default_factory=list)
     tried: list[str] = field(default_factory=list)
+    refused: set[str] = field(default_factory=set)
+    counted: bool = False
     budget_exhausted: bool = False
+    retry_at: float | None = None
 
 
 class ScatterRun:
@@ -87,6 +103,7 @@
         self._wakeup = Wakeup()
         self._records = GreatestRecords(route.shards.top_records)
         self._reply_count = 0
+        self._unavailable_count = 0
         self.zones: Counter[str] = Counter()
         self.hedges = 0
         self.retries = 0
@@ -145,12 +162,18 @@
     def _is_done(self, now: float) -> bool:
         if self._reply_count == len(self._shards) or now >= self._deadline - DEADLINE_MARGIN_S:
             return True
-        if self._reply_count < self._route.shards.min_shards or now < self._objective_at:
+        if self._reply_count < self._route.shards.min_shards:
             return False
+        if now < self._objective_at:
+            return self._only_unavailable_missing()
         # At the objective a partial answer is sent if enough shards have replied. If enough reply
         # only later, the query waits for the others until it accepts a partial answer.
         return now < self._objective_at + LATE_SWEEP_INTERVAL_S or now >= self._partial_answer_at()
 
+    def _only_unavailable_missing(self) -> bool:
+        """Whether waiting is of no use, as a server takes longer to return than callers wait."""
+        return self._reply_count + self._unavailable_count == len(self._shards)
+
     def _partial_answer_at(self) -> float:
         return self._request.arrived_at + PARTIAL_ANSWER_FACTOR * self._route.latency_objective_s
 
@@ -175,7 +198,10 @@
         for shard in self._shards:
             if shard.reply is not None:
                 continue
-            if not shard.tried:
+            if shard.retry_at is not None:
+                if now >= shard.retry_at:
+                    self._try_anew(shard)
+            elif not shard.tried:
                 self._send_first(shard)
             elif self._suspicion.suspected:
                 continue
@@ -191,8 +217,22 @@
             log_hedge(self._request, slow, shard.sub_attempts[-1], self._latency.p90_s)
 
     def _send_first(self, shard: _Shard) -> None:
-        if self._send(shard, ()):
-            self._context.budget(shard.pool).note_first()
+        """Send to a server that has not refused; note when there is none."""
+        if self._send(shard, shard.refused):
+            if not shard.counted:
+                shard.counted = True
+                self._context.budget(shard.pool).note_first()
+        elif not self._context.chooser.has_servers(shard.pool, shard.refused):
+            shard.retry_at = self._context.clock.now() + UNAVAILABLE_RETRY_S
+            self._unavailable_count += 1
+            self._wake_if_settled()
+
+    def _try_anew(self, shard: _Shard) -> None:
+        """Try the servers of a shard again that had none available."""
+        shard.retry_at = None
+        shard.refused.clear()
+        self._unavailable_count -= 1
+        self._send_first(shard)
 
     def _retry(self, shard: _Shard) -> None:
         """Retry a failed shard at another server, or at one already tried if there is no other."""
@@ -249,6 +289,8 @@
         unsent = isinstance(result, SendFailure) and result.proves_not_run
         if unsent:
             shard.tried.remove(sub_attempt.server.server)
+            if result is SendFailure.NOT_SENT:
+                shard.refused.add(sub_attempt.server.server)
         if self._suspicion.suspected:
             self._wakeup.set()
             return
@@ -257,14 +299,10 @@
             and self._context.clock.now() < self._deadline - DEADLINE_MARGIN_S
         ):
             if not shard.tried:
-                self._replace_unsent(shard, sub_attempt)
+                self._send_first(shard)
             elif not unsent:  # otherwise the next sweep retries
                 self._retry(shard)
 
-    def _replace_unsent(self, shard: _Shard, failed: SubAttempt) -> None:
-        """Send a first sub-request to another server after a failed connection attempt."""
-        self._send(shard, [failed.server.server])
-
     def _accept_reply(self, shard: _Shard, reply: ServerReply) -> None:
         shard.reply = reply
         self._records.add(reply.body)
@@ -272,7 +310,13 @@
         for sub_attempt in shard.sub_attempts:
             sub_attempt.cancel()
         shard.sub_attempts.clear()
-        if self._reply_count == len(self._shards) or self._suspicion.needs_canary:
+        if self._suspicion.needs_canary:
+            self._wakeup.set()
+        self._wake_if_settled()
+
+    def _wake_if_settled(self) -> None:
+        """Wake the run when no shard is left whose reply may still come soon."""
+        if self._only_unavailable_missing():
             self._wakeup.set()
 
     def _cancel_all(self) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,8 +1,10 @@
 """Tests for server selection, load tracking and the fleet-wide limits on sub-requests."""
 
+import asyncio
 import random
 from types import SimpleNamespace
 
+from bergamotgate.clock import LoopClock
 from bergamotgate.config.catalogue import PoolRules
 from bergamotgate.discovery import DiscoveredServer, ServerRegistry, ServerStanding
 from bergamotgate.placement import (
@@ -12,7 +14,7 @@
     ServerChooser,
     ServerLoad,
 )
-from tests.support import check, make_load_tests
+from tests.support import check, make_load_tests, virtual_time
 
 RULES = PoolRules("p", "/health", 25, 3.0, 0.0)
 MEDIAN_S = 0.02
@@ -152,4 +154,12 @@
         check.assertGreater(len(sent) / 5, 0.4 * cold_per_s, (vms, cold_per_s))
 
 
+@virtual_time
+async def test_backoff_stays_at_its_limit_after_thousands_of_failures():
+    load = ServerLoad(LoopClock(), slots=2)
+    for _ in range(5000):
+        load.note_failure()
+    check.assertTrue(load.in_backoff(asyncio.get_running_loop().time()))
+
+
 load_tests = make_load_tests(globals())
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -235,6 +235,49 @@
     await relay.close()
 
 
+async def query_with_a_shard_down(withdraw: bool, queries: int = 20) -> RelayFixture:
+    """Plays queries while both servers of one shard refuse connections or are withdrawn."""
+    relay = RelayFixture(targetLatencyMs=60_000, timeoutMs=120_000)
+    shards = await make_shards(relay)
+    for replica in shards[1]:
+        await replica.close()
+        if withdraw:
+            relay.registry.withdraw(replica.server, False)
+    for _ in range(queries):
+        request = relay.send_request("/s/q", client_timeout_s=120.0)
+        answer = await asyncio.wait_for(request, 30.0)
+        check.assertEqual((1, 2), (answer.missing, len(answer.digests)))
+    return relay
+
+
+@real_time
+async def test_a_query_does_not_wait_for_a_shard_whose_servers_refuse_connections():
+    relay = await query_with_a_shard_down(withdraw=False)
+    failed = relay.metrics.connections.labels("shard-1", "failed")._value.get()
+    check.assertLessEqual(failed, 2 * 20 + 20, "refused connections are tried in a loop")
+    await relay.close()
+
+
+@real_time
+async def test_a_query_does_not_wait_for_a_shard_without_servers():
+    relay = await query_with_a_shard_down(withdraw=True)
+    await relay.close()
+
+
+@real_time
+async def test_a_shard_whose_servers_refused_is_tried_anew():
+    relay = RelayFixture(targetLatencyMs=1000, timeoutMs=120_000, minShardShare=1.0)
+    shards = await make_shards(relay, replicas_per_shard=1)
+    await shards[1][0].close()
+    answer_task = asyncio.ensure_future(relay.send_request("/s/q", client_timeout_s=120.0))
+    while not shards[0][0].run_count:
+        await asyncio.sleep(0.01)
+    await relay.add_server("shard-1", body=record(1))
+    answer = await asyncio.wait_for(answer_task, 60.0)
+    check.assertEqual(0, answer.missing)
+    await relay.close()
+
+
 @real_time
 async def test_too_few_shards_are_an_unknown_outcome():
     relay = RelayFixture(minShardShare=0.9, timeoutMs=300)
