--- a/bergamotgate/caller/caller.py
+++ b/bergamotgate/caller/caller.py
@@ -130,7 +130,8 @@
             deadline_ms: Deadline of each attempt, in milliseconds.
             once: Whether the request must not run twice. It then carries an idempotency key and is
                 retried only with that key, or with a new key after the fleet reported that it did
-                not run.
+                not run. Without a key, which the fleet may be unable to give, it is not repeated
+                after an unknown outcome.
 
         Raises:
             NoAddress: None of the known VMs answered.
@@ -154,10 +155,9 @@
                 return result
             if result.reason in KEEPER_FAILURE_REASONS:
                 self._addresses_valid_until = float("-inf")  # later requests need another keeper
-            if not self._may_retry(result) or (
-                once and key is None and result.outcome != "not_run"
-            ):
-                return result  # without a key the fleet cannot tell a repetition
+            repeatable = not once or key is not None or result.outcome == "not_run"
+            if not repeatable or not self._may_retry(result):
+                return result
             if once and result.outcome == "not_run":
                 key = None
             # After a redirect it is another VM that failed.
