--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -28,10 +28,15 @@
         self.delay_s = delay_s
         self.draining = False
         self.requests = []
+        self.in_progress = 0
 
     async def handle(self, request):
         self.requests.append(request)
-        await asyncio.sleep(self.delay_s)
+        self.in_progress += 1
+        try:
+            await asyncio.sleep(self.delay_s)
+        finally:
+            self.in_progress -= 1
         return self.answer
 
 
@@ -123,6 +128,8 @@
 
     clients = [asyncio.ensure_future(send_until_closed()) for _ in range(30)]
     await asyncio.sleep(0.2)
+    while not handler.in_progress:
+        await asyncio.sleep(0)
     handler.draining = True
     await ingress.drain(await deadline_in(drain_s))
     await asyncio.gather(*clients)
