Log and count requests to servers that state a request rate

The logs could not tell which VM knows of a server's stated rate, nor how much it sends there. The header is decoded in the adapter, carried through delegates, logged when it is first stated, ends, and each second meanwhile with the number of requests sent. Placement does not use it yet. Tests: the rate is learned from any reply, through a delegate too; malformed values are ignored.

--- a/bergamotgate/delegate/link.py
+++ b/bergamotgate/delegate/link.py
@@ -294,4 +294,5 @@
         digest=reply.digest,
         not_run=bool(reply.not_run),
         misdirected=bool(reply.misdirected),
+        rate_limit=reply.rate_limit,
     )
--- a/bergamotgate/delegate/service.py
+++ b/bergamotgate/delegate/service.py
@@ -159,6 +159,7 @@
             reply.misdirected or None,
             reply.digest,
             records,
+            reply.rate_limit,
         )
 
     def _reply(self, reply: ttypes.DelegatedReply) -> None:
--- a/bergamotgate/gateway/node.py
+++ b/bergamotgate/gateway/node.py
@@ -20,6 +20,7 @@
 from bergamotgate.ownership.rendezvous import rank
 from bergamotgate.placement.chooser import ServerChooser
 from bergamotgate.placement.cold import ColdStartLimiter
+from bergamotgate.placement.rates import RateLimiter
 from bergamotgate.publication import (
     UNREAD,
     ItemSource,
@@ -213,6 +214,8 @@
         self.servers = servers = ServerTracker(registry, clock, self.metrics)
         cold_limiter = ColdStartLimiter(self.settings.vm, self._vm_names, clock)
         registry.on_end(lambda server: cold_limiter.forget(server.server))
+        rates = RateLimiter(clock, self.metrics)
+        registry.on_end(lambda server: rates.forget(server.server))
         chooser = ServerChooser(
             self.settings.zone,
             registry,
@@ -236,7 +239,9 @@
         self.delegates = DelegateClient(self.members, services.network, clock, self.metrics)
         service = DelegateService(registry, servers, services.codec, clock, self.metrics)
         self.peers = PeerStreams(self.disseminator, service, self.metrics)
-        sender = Sender(servers, services.codec, self.crashes, clock, self.metrics, self.delegates)
+        sender = Sender(
+            servers, rates, services.codec, self.crashes, clock, self.metrics, self.delegates
+        )
         relay_context = RelayContext(
             sender, chooser, servers, self._budgets, self.crashes, LoopLag(), clock, self.metrics
         )
--- a/bergamotgate/metrics.py
+++ b/bergamotgate/metrics.py
@@ -30,6 +30,9 @@
         self.wrong_replies = self._counter("wrong_replies", "Replies not believed.", "pool reason")
         self.unreadable_items = self._counter("unreadable_items", "Published garbage.", "kind")
         self.delegated = self._counter("delegated", "Parts through VMs near servers.", "event")
+        self.rate_limited = self._counter(
+            "rate_limited", "Sub-requests to servers that state a request rate.", "pool event"
+        )
         self.strikes = self._counter("strikes", "Servers lost to a request.", "pool")
         self.request_latency = Histogram(
             "bergamotgate_request_seconds",
--- a/bergamotgate/placement/__init__.py
+++ b/bergamotgate/placement/__init__.py
@@ -4,5 +4,13 @@
 from bergamotgate.placement.cold import ColdStartLimiter
 from bergamotgate.placement.extra import PoolExtraBudget
 from bergamotgate.placement.load import RouteLatency, ServerLoad
+from bergamotgate.placement.rates import RateLimiter
 
-__all__ = ["ColdStartLimiter", "PoolExtraBudget", "RouteLatency", "ServerChooser", "ServerLoad"]
+__all__ = [
+    "ColdStartLimiter",
+    "PoolExtraBudget",
+    "RateLimiter",
+    "RouteLatency",
+    "ServerChooser",
+    "ServerLoad",
+]
--- a/bergamotgate/platform/names.py
+++ b/bergamotgate/platform/names.py
@@ -6,6 +6,7 @@
     "MISSING_PARTS",
     "NOT_EXECUTED",
     "PART_STAMPS",
+    "SERVER_LIMIT",
     "SERVER_STAMP",
     "TARGET_INSTANCE",
 ]
@@ -14,6 +15,8 @@
 ATTEMPT_ID = "X-Attempt-Id"
 # Milliseconds that the client waits, or a server may take; a duration, not a time of day.
 DEADLINE_MS = "X-Deadline-Ms"
+# Requests a second that a server takes from all VMs together, a decimal number.
+SERVER_LIMIT = "Server-Limit"
 # A server's signature of its reply.
 SERVER_STAMP = "X-Server-Stamp"
 # Identifier of the server that must answer.
--- a/bergamotgate/platform/replicacodec.py
+++ b/bergamotgate/platform/replicacodec.py
@@ -1,5 +1,9 @@
 """Encodes sub-requests to the platform's backend servers and decodes their replies."""
 
+import math
+
+from loguru import logger
+
 from bergamotgate.backend.http1 import RawReply
 from bergamotgate.discovery.servers import DiscoveredServer
 from bergamotgate.platform import names
@@ -13,6 +17,7 @@
 ATTEMPT_ID = names.ATTEMPT_ID.lower()
 SERVER_STAMP = names.SERVER_STAMP.lower()
 NOT_EXECUTED = names.NOT_EXECUTED.lower()
+SERVER_LIMIT = names.SERVER_LIMIT.lower()
 
 
 class PlatformCodec:
@@ -56,9 +61,24 @@
             digest=digest,
             not_run=not_run,
             misdirected=raw.status == MISDIRECTED,
+            rate_limit=_rate_limit(header_by_name.get(SERVER_LIMIT)),
         )
 
 
+def _rate_limit(text: str | None) -> float | None:
+    """Requests per second; None if the server states no limit or one that is not usable."""
+    if text is None:
+        return None
+    try:
+        rate_per_s = float(text)
+    except ValueError:
+        rate_per_s = math.nan
+    if not math.isfinite(rate_per_s) or rate_per_s < 0:
+        logger.warning("relay: Ignored a stated request rate that is no number: {!r}.", text)
+        return None
+    return rate_per_s
+
+
 def _shared_head(request: ClientRequest) -> bytes:
     """Encode the request head without the headers that differ between servers."""
     lines = [
--- a/bergamotgate/relay/messages.py
+++ b/bergamotgate/relay/messages.py
@@ -70,6 +70,8 @@
         digest: The server's signature of the reply; None without one.
         not_run: Whether the server states that it did not run the request.
         misdirected: Whether the address belongs to another server now.
+        rate_limit: Requests per second that the server takes from all VMs together; None if it
+            states no limit.
     """
 
     status: int
@@ -78,6 +80,7 @@
     digest: str | None
     not_run: bool
     misdirected: bool
+    rate_limit: float | None = None
 
     @property
     def success(self) -> bool:
--- a/bergamotgate/relay/sender.py
+++ b/bergamotgate/relay/sender.py
@@ -11,6 +11,7 @@
 from bergamotgate.discovery.servers import DiscoveredServer
 from bergamotgate.metrics import Metrics
 from bergamotgate.placement.load import RouteLatency, ServerLoad
+from bergamotgate.placement.rates import RateLimiter
 from bergamotgate.quarantine import Suspicion
 from bergamotgate.relay.crashes import CrashDetector
 from bergamotgate.relay.messages import (
@@ -84,6 +85,7 @@
     def __init__(
         self,
         servers: ServerTracker,
+        rates: RateLimiter,
         codec: ServerCodec,
         crashes: CrashDetector,
         clock: Clock,
@@ -91,6 +93,7 @@
         remote_sender: RemoteZoneSender | None = None,
     ):
         self._servers = servers
+        self._rates = rates
         self._remote_sender = remote_sender
         self._codec = codec
         self._crashes = crashes
@@ -127,6 +130,7 @@
             next(self._numbers), request, server, load, latency, suspicion, now
         )
         load.begin(sub_attempt.number)
+        self._rates.note_sent(server)
         budget_s = max(MIN_BUDGET_MS / 1000, deadline - now)
 
         def on_end(end: RawReply | ExchangeFailure | ServerReply | SendFailure) -> None:
@@ -191,6 +195,8 @@
 
     def _note_reply(self, sub_attempt: SubAttempt, reply: ServerReply, took_s: float) -> None:
         load = sub_attempt.load
+        if not reply.misdirected:
+            self._rates.note_reply(sub_attempt.server, reply.rate_limit, sub_attempt.started_at)
         if reply.misdirected:
             load.note_failure()
             self._metrics.declined.labels(sub_attempt.server.pool, "misdirected").inc()
--- a/bergamotgate/standin/replica.py
+++ b/bergamotgate/standin/replica.py
@@ -93,6 +93,7 @@
         service_s: Time to run a request, in seconds.
         faults: Faults for the next requests, in order; ``fault`` applies once it is empty.
         fault: Fault for all further requests.
+        stated_rate: Requests per second that every reply states as the limit for all VMs together.
         received_requests: All requests received, including refused ones.
         run_count: Number of requests run.
         run_attempts: Attempt identifiers of the requests run.
@@ -107,6 +108,7 @@
     service_s: float = 0.0
     faults: list[Fault] = field(default_factory=list)
     fault: Fault = Fault.NONE
+    stated_rate: str | None = None
     received_requests: list[ReceivedRequest] = field(default_factory=list)
     run_count: int = 0
     run_attempts: list[str] = field(default_factory=list)
@@ -152,7 +154,7 @@
         refusal = {Fault.SHED: "503 Service Unavailable", Fault.MISDIRECTED: "421 Misdirected"}
         if fault in refusal:
             attempt = request.headers.get("x-attempt-id", "")
-            refused = f"X-Attempt-Id: {attempt}\r\nX-Not-Executed: 1\r\n"
+            refused = f"X-Attempt-Id: {attempt}\r\nX-Not-Executed: 1\r\n{self._stated_rate()}"
             writer.write(_head(refusal[fault], 0, refused))
             return True
         if self.on_run is not None:
@@ -184,6 +186,7 @@
         stamp_header = f"X-Server-Stamp: {self.server}.{attempt}\r\n"
         extra = "" if fault is Fault.NO_ATTEMPT else f"X-Attempt-Id: {echoed_attempt}\r\n"
         extra += "" if fault is Fault.UNSIGNED else stamp_header
+        extra += self._stated_rate()
         if fault is Fault.ENCODED:
             extra += "Content-Encoding: gzip\r\n"
         status = "500 Internal Server Error" if fault is Fault.ERROR else "200 OK"
@@ -222,6 +225,9 @@
         writer.write(response)
         return True
 
+    def _stated_rate(self) -> str:
+        return "" if self.stated_rate is None else f"Server-Limit: {self.stated_rate}\r\n"
+
 
 def _head(status: str, length: int, extra: str) -> bytes:
     return f"HTTP/1.1 {status}\r\n{extra}Content-Length: {length}\r\n\r\n".encode()
--- a/idl/bergamotgate.thrift
+++ b/idl/bergamotgate.thrift
@@ -190,7 +190,8 @@
   WRONG_REPLY = 6
 }
 
-// ``status`` and the fields after it are set only if the server replied.
+// ``status`` and the fields after it are set only if the server replied. ``rate_limit`` is the request
+// rate a second that the server states for all VMs together; absent if it states none.
 struct DelegatedReply {
   1: required i64 number
   2: required DelegatedEnd end
@@ -199,6 +200,7 @@
   5: optional bool misdirected
   6: optional string digest
   7: optional binary records
+  8: optional double rate_limit
 }
 
 struct Frame {
--- a/tests/test_delegate.py
+++ b/tests/test_delegate.py
@@ -209,6 +209,17 @@
     await vms.close()
 
 
+@real_time
+async def test_stated_rates_reach_the_gateway_through_a_delegate():
+    vms = TwoVms()
+    await vms.start()
+    shards = await vms.add_shards("b")
+    shards[1][0].stated_rate = "12.5"
+    await vms.send_request("/s/x")
+    check.assertEqual({shards[1][0].server: 12.5}, vms.gateway.rates.stated())
+    await vms.close()
+
+
 def test_records_below_the_floor_do_not_change_the_answer():
     rng = random.Random(5)
     for _ in range(300):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,7 +9,7 @@
 from bergamotgate.gateway.handler import QueryHandler
 from bergamotgate.metrics import Metrics
 from bergamotgate.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
-from bergamotgate.placement import ColdStartLimiter, ServerChooser
+from bergamotgate.placement import ColdStartLimiter, RateLimiter, ServerChooser
 from bergamotgate.platform.itemdecoder import PlatformItemDecoder
 from bergamotgate.platform.replicacodec import PlatformCodec
 from bergamotgate.publication import ItemTable, PublishedItem
@@ -63,6 +63,7 @@
         self.servers = ServerTracker(self.registry, self.clock, self.metrics)
         cold = ColdStartLimiter("vm", lambda: ["vm"], self.clock)
         rng = random.Random(1)
+        self.rates = RateLimiter(self.clock, self.metrics)
         chooser = ServerChooser(
             "a", self.registry, self.servers.load_of, cold, lambda: 1, self.clock, rng
         )
@@ -71,7 +72,9 @@
         self.quarantine = QuarantineBook(port, lambda: [], self.clock, self.metrics)
         crashes = CrashDetector(self.quarantine, self.servers.accepts_connections, self.clock)
         self.codec = PlatformCodec()
-        sender = Sender(self.servers, self.codec, crashes, self.clock, self.metrics, remote_sender)
+        sender = Sender(
+            self.servers, self.rates, self.codec, crashes, self.clock, self.metrics, remote_sender
+        )
         self.context = RelayContext(
             sender, chooser, self.servers, budgets, crashes, LoopLag(), self.clock, self.metrics
         )
@@ -452,4 +455,31 @@
     check.assertGreater(answer_due_at(long_waiting, 0.057, 0.002), 100.0 + 0.4 * 0.057)
 
 
+@real_time
+async def test_stated_rate_is_learned_from_any_reply_and_ends_with_one_without_it():
+    relay = RelayFixture()
+    server = await relay.add_server("desk", body=b"x", stated_rate="7.5")
+    for fault in (Fault.SHED, Fault.ERROR, Fault.NONE):
+        relay.rates.forget(server.server)
+        server.fault = fault
+        await relay.send_request("/b/x", client_timeout_s=0.3)
+        check.assertEqual({server.server: 7.5}, relay.rates.stated(), fault)
+    server.stated_rate = None
+    await relay.send_request("/b/x")
+    check.assertEqual({}, relay.rates.stated())
+    await relay.close()
+
+
+@real_time
+async def test_stated_rate_that_is_no_number_is_ignored():
+    relay = RelayFixture()
+    server = await relay.add_server("desk", body=b"x")
+    for text in ("", "many", "nan", "inf", "-1", "1,5", "0x10"):
+        server.stated_rate = text
+        answer = await relay.send_request("/b/x")
+        check.assertEqual(200, answer.reply.status, text)
+        check.assertEqual({}, relay.rates.stated(), text)
+    await relay.close()
+
+
 load_tests = make_load_tests(globals())
