Heed the request rate that a server states for all VMs together

Cause: no part of the code read the rate, and a delegated reply carried no headers, so that most VMs could not have known it. Class: what a server says of itself in a reply has to reach whoever sends to it, and a limit for the whole fleet has to be divided.

Change: each VM that sends to the server, for itself or as a delegate, learns the rate from the replies and uses its own part: the largest VMs of the server's zone for sharded pools, the VMs that serve clients for others. The part is a sequence of slots that expire, so nothing is saved up. A delegate without a slot declines with the time of its next one. A query is refused at once when too few shards can be asked in time, and does not wait for a shard that cannot; a single request waits for a slot that is early enough or is refused with the time of the next.

--- a/bergamotgate/delegate/client.py
+++ b/bergamotgate/delegate/client.py
@@ -45,14 +45,16 @@
 
         Returns None if its zone is this VM's own or has no delegate.
         """
-        if server.zone == self._members.own.zone:
-            return None
-        member = self._choose(server.zone)
+        member = self._delegate_for(server)
         if member is None:
             return None
         self._metrics.delegated.labels("asked").inc()
         return self._link_to(member).send(request, server.server, budget_s, record_filter, on_end)
 
+    def reaches(self, server: DiscoveredServer) -> bool:
+        """Return whether sub-requests to a server go through a delegate now."""
+        return self._delegate_for(server) is not None
+
     def close_links(self) -> None:
         """Close all links, which may be dead after a pause of this VM."""
         links, self._link_by_vm = self._link_by_vm, {}
@@ -64,6 +66,9 @@
         self.close_links()
         await self._tasks.close()
 
+    def _delegate_for(self, server: DiscoveredServer) -> Member | None:
+        return None if server.zone == self._members.own.zone else self._choose(server.zone)
+
     def _choose(self, zone: str) -> Member | None:
         if self._ranked_version != self._members.version:
             self._ranked_version = self._members.version
--- a/bergamotgate/delegate/link.py
+++ b/bergamotgate/delegate/link.py
@@ -18,6 +18,7 @@
 from bergamotgate.relay.messages import (
     ClientRequest,
     OnEnd,
+    RateDeclined,
     RecordFilter,
     SendFailure,
     ServerReply,
@@ -284,7 +285,9 @@
     )
 
 
-def _decode_result(reply: ttypes.DelegatedReply) -> ServerReply | SendFailure:
+def _decode_result(reply: ttypes.DelegatedReply) -> ServerReply | SendFailure | RateDeclined:
+    if reply.retry_ms is not None:
+        return RateDeclined(reply.retry_ms / 1000)
     if reply.end != ttypes.DelegatedEnd.REPLIED:
         return FAILURE_BY_END.get(reply.end, SendFailure.WRONG_REPLY)
     return ServerReply(
--- a/bergamotgate/delegate/service.py
+++ b/bergamotgate/delegate/service.py
@@ -9,11 +9,12 @@
 
 from bergamotgate.backend.http1 import ExchangeFailure, RawReply
 from bergamotgate.backend.pool import Exchange
-from bergamotgate.clock import Clock
+from bergamotgate.clock import Clock, milliseconds
 from bergamotgate.delegate.link import QUERY_ID_CACHE_SIZE
 from bergamotgate.discovery.registry import ServerRegistry
 from bergamotgate.discovery.servers import DiscoveredServer
 from bergamotgate.metrics import Metrics
+from bergamotgate.placement.rates import RateLimiter
 from bergamotgate.relay.messages import ClientRequest, ServerCodec, WrongReplyReason
 from bergamotgate.relay.records import useful_records
 from bergamotgate.relay.servers import ServerTracker
@@ -41,6 +42,7 @@
 
     registry: ServerRegistry
     servers: ServerTracker
+    rates: RateLimiter
     codec: ServerCodec
     clock: Clock
     metrics: Metrics
@@ -101,12 +103,24 @@
         if server is None or not service.registry.takes_work(server):
             self._decline(part, request, "the server accepts no requests")
             return
+        if not service.rates.take(server):
+            self._decline_for_rate(part, server)
+            return
         service.metrics.delegated.labels("served").inc()
+        sent_at = service.clock.now()
         self._exchange_by_number[part.number] = service.servers.connections_of(server.server).send(
             service.codec.encode(request, server, delegated_request.budget_ms),
             delegated_request.budget_ms / 1000,
             False,
-            lambda end: self._handle_end(request, delegated_request, part, server, end),
+            lambda end: self._handle_end(request, delegated_request, part, server, sent_at, end),
+        )
+
+    def _decline_for_rate(self, part: ttypes.DelegatedPart, server: DiscoveredServer) -> None:
+        """Reply that nothing was sent, as this VM's part of the server's rate is used up."""
+        self._service.metrics.delegated.labels("rate_limited").inc()
+        retry_ms = max(1, milliseconds(self._service.rates.delay_s(server)))
+        self._reply(
+            ttypes.DelegatedReply(part.number, ttypes.DelegatedEnd.NOT_SENT, retry_ms=retry_ms)
         )
 
     def _decline(
@@ -126,11 +140,12 @@
         delegated_request: ttypes.DelegatedAsk,
         part: ttypes.DelegatedPart,
         server: DiscoveredServer,
+        sent_at: float,
         end: RawReply | ExchangeFailure,
     ) -> None:
         self._exchange_by_number.pop(part.number, None)
         if isinstance(end, RawReply):
-            self._reply(self._decode(request, delegated_request, part, server, end))
+            self._reply(self._decode(request, delegated_request, part, server, sent_at, end))
         else:
             self._reply(ttypes.DelegatedReply(part.number, DELEGATED_END[end]))
 
@@ -140,12 +155,15 @@
         delegated_request: ttypes.DelegatedAsk,
         part: ttypes.DelegatedPart,
         server: DiscoveredServer,
+        sent_at: float,
         raw: RawReply,
     ) -> ttypes.DelegatedReply:
         reply = self._service.codec.decode(request, raw)
         if isinstance(reply, WrongReplyReason):
             self._service.metrics.wrong_replies.labels(server.pool, reply.value).inc()
             return ttypes.DelegatedReply(part.number, ttypes.DelegatedEnd.WRONG_REPLY)
+        if not reply.misdirected:
+            self._service.rates.note_reply(server, reply.rate_limit, sent_at)
         records = b""
         if reply.success:
             records = useful_records(
--- a/bergamotgate/gateway/directory.py
+++ b/bergamotgate/gateway/directory.py
@@ -13,16 +13,30 @@
 from bergamotgate.membership.capacity import largest_members
 from bergamotgate.membership.members import Member, MemberState, MemberTable
 
-__all__ = ["ADDRESSES_TTL_S", "ClientDirectory", "MAX_ADDRESSES"]
+__all__ = ["ADDRESSES_TTL_S", "ClientDirectory", "MAX_ADDRESSES", "allowance_divisor"]
 
 # Clients cache an answer for this time, some of them for three times as long.
 ADDRESSES_TTL_S = 2
 MAX_ADDRESSES = 64
 # Clients are not directed to a zone with less than this share of the fullest zone's servers.
 MIN_ZONE_SHARE = 0.5
-# Share of a fleet-wide allowance for VMs to which no client is directed: some clients still use an
-# older answer.
-UNLISTED_VM_SHARE = 0.1
+# Share of a fleet-wide allowance for the VMs that should send nothing: some clients still use an
+# older answer, and local views differ.
+OTHER_VMS_SHARE = 0.1
+
+
+def allowance_divisor(own_vm: str, users: frozenset[str], vm_count: int) -> float:
+    """Return the number by which a VM divides an allowance of the fleet to get its own part.
+
+    Args:
+        own_vm: Name of the VM.
+        users: VMs that should use the allowance.
+        vm_count: Number of all VMs; those that are no users share a small part.
+    """
+    other_count = vm_count - len(users)
+    if own_vm not in users:
+        return max(1, other_count) / OTHER_VMS_SHARE
+    return len(users) / (1 - OTHER_VMS_SHARE) if other_count > 0 else len(users)
 
 
 class ClientDirectory:
@@ -52,14 +66,19 @@
 
         Each VM divides fleet-wide allowances by this number.
         """
-        members = [m for m in self._members.all() if m.reachable]
+        serving, vm_count = self.serving_vms(), len(self._reachable_members())
+        if len(serving) >= vm_count:
+            return max(1, vm_count)  # also for a VM that leaves, which still serves clients
+        return allowance_divisor(self._members.own.vm, serving, vm_count)
+
+    def serving_vms(self) -> frozenset[str]:
+        """Names of the VMs to which clients are directed."""
+        members = self._reachable_members()
         zones = self._zones_with_servers(members) or {member.zone for member in members}
-        listed = {m.vm for zone in zones for m in self._largest_in_zone(members, zone)}
-        if len(listed) >= len(members):
-            return max(1, len(members))
-        if self._members.own.vm in listed:
-            return len(listed) / (1 - UNLISTED_VM_SHARE)
-        return (len(members) - len(listed)) / UNLISTED_VM_SHARE
+        return frozenset(m.vm for zone in zones for m in self._largest_in_zone(members, zone))
+
+    def _reachable_members(self) -> list[Member]:
+        return [m for m in self._members.all() if m.reachable]
 
     def _largest_in_zone(self, members: list[Member], zone: str | None) -> list[Member]:
         nearby = [member for member in members if member.zone == zone]
--- a/bergamotgate/gateway/node.py
+++ b/bergamotgate/gateway/node.py
@@ -13,6 +13,7 @@
 from bergamotgate.gateway.localview import ItemDecoder, LocalView
 from bergamotgate.gateway.pauses import PauseWatch, suspended_s
 from bergamotgate.gateway.peers import PeerStreams
+from bergamotgate.gateway.shares import SenderShares
 from bergamotgate.membership.confirmation import ViewConfirmation
 from bergamotgate.membership.members import Member, MemberState, MemberTable
 from bergamotgate.membership.prober import Prober
@@ -214,20 +215,26 @@
         self.servers = servers = ServerTracker(registry, clock, self.metrics)
         cold_limiter = ColdStartLimiter(self.settings.vm, self._vm_names, clock)
         registry.on_end(lambda server: cold_limiter.forget(server.server))
-        rates = RateLimiter(clock, self.metrics)
+        self.directory = ClientDirectory(
+            self.members, registry, lambda: self.local_view.catalogue, services.rng
+        )
+        shares = SenderShares(
+            self.members, self.directory, lambda: self.local_view.catalogue, clock
+        )
+        rates = RateLimiter(shares, clock, services.rng, self.metrics)
         registry.on_end(lambda server: rates.forget(server.server))
+        self.delegates = DelegateClient(self.members, services.network, clock, self.metrics)
         chooser = ServerChooser(
             self.settings.zone,
             registry,
             servers.load_of,
             cold_limiter,
+            rates,
+            self.delegates.reaches,
             self._vm_count,
             clock,
             services.rng,
         )
-        self.directory = ClientDirectory(
-            self.members, registry, lambda: self.local_view.catalogue, services.rng
-        )
         self._budgets = ExtraBudgets(
             self.settings.extra,
             self.directory.effective_fleet_size,
@@ -236,8 +243,7 @@
         )
         quarantine = QuarantineBook(self.port, self._peer_addresses, clock, self.metrics)
         self.crashes = CrashDetector(quarantine, servers.accepts_connections, clock)
-        self.delegates = DelegateClient(self.members, services.network, clock, self.metrics)
-        service = DelegateService(registry, servers, services.codec, clock, self.metrics)
+        service = DelegateService(registry, servers, rates, services.codec, clock, self.metrics)
         self.peers = PeerStreams(self.disseminator, service, self.metrics)
         sender = Sender(
             servers, rates, services.codec, self.crashes, clock, self.metrics, self.delegates
--- a/bergamotgate/outcomes.py
+++ b/bergamotgate/outcomes.py
@@ -38,6 +38,7 @@
     QUARANTINED = "quarantined"
     NO_SERVER = "no_server"
     ALL_DECLINED = "all_declined"
+    RATE_LIMITED = "rate_limited"
 
 
 class UnknownReason(StrEnum):
--- a/bergamotgate/placement/chooser.py
+++ b/bergamotgate/placement/chooser.py
@@ -1,7 +1,9 @@
 """Chooses the server with the least expected latency, preferring this VM's own zone."""
 
+import math
 import random
 from collections.abc import Callable, Collection
+from dataclasses import dataclass
 
 from bergamotgate.clock import Clock
 from bergamotgate.config.catalogue import PoolRules
@@ -9,8 +11,9 @@
 from bergamotgate.discovery.servers import DiscoveredServer
 from bergamotgate.placement.cold import ColdStartLimiter
 from bergamotgate.placement.load import RouteLatency, ServerLoad
+from bergamotgate.placement.rates import RateLimiter
 
-__all__ = ["ServerChooser"]
+__all__ = ["Reservation", "ServerChooser"]
 
 # Cost of a reply from another zone beside its round-trip time, expressed as latency.
 OTHER_ZONE_PENALTY_S = 0.025
@@ -25,6 +28,19 @@
 BACKOFF_PENALTY_S = 10.0
 
 
+@dataclass(frozen=True)
+class Reservation:
+    """A slot at a server that states a request rate.
+
+    Attributes:
+        server: The server.
+        at: Time on the local clock from which the request may be sent.
+    """
+
+    server: DiscoveredServer
+    at: float
+
+
 class ServerChooser:
     """Chooses servers for the sub-requests of this VM."""
 
@@ -34,14 +50,31 @@
         registry: ServerRegistry,
         load_of: Callable[[str], ServerLoad],
         cold: ColdStartLimiter,
+        rates: RateLimiter,
+        is_delegated: Callable[[DiscoveredServer], bool],
         vm_count: Callable[[], int],
         clock: Clock,
         rng: random.Random,
     ):
+        """Initialize.
+
+        Args:
+            zone: This VM's availability zone.
+            registry: Registered servers.
+            load_of: Returns the load of a server.
+            cold: Limits requests to cold servers.
+            rates: Limits requests to servers that state a rate.
+            is_delegated: Whether sub-requests of queries to a server go through a delegate now.
+            vm_count: Returns the number of VMs.
+            clock: Source of the current time.
+            rng: Breaks ties.
+        """
         self._zone = zone
         self._registry = registry
         self._load_of = load_of
         self._cold = cold
+        self._rates = rates
+        self._is_delegated = is_delegated
         self._vm_count = vm_count
         self._clock = clock
         self._rng = rng
@@ -52,16 +85,20 @@
         latency: RouteLatency,
         excluded: Collection[str] = (),
         allowed: Collection[str] | None = None,
+        delegable: bool = False,
     ) -> DiscoveredServer | None:
-        """Return the best server of a pool, or None if there is none.
+        """Return the best server of a pool that may get a request now, or None.
 
         Args:
             rules: Rules of the pool.
             latency: Recent service times of the route.
             excluded: Servers that must not be chosen.
             allowed: The only servers that may be chosen; None for all.
+            delegable: Whether the request may go through a delegate, which then limits its rate.
         """
         candidates = self._candidates(rules, excluded, allowed)
+        if self._rates.active:
+            candidates = [c for c in candidates if self._rate_delay_s(c, delegable) <= 0]
         while candidates:
             best = self._cheapest(candidates, latency)
             if self._cold_limit_allows(best, rules):
@@ -75,6 +112,41 @@
             return self._registry.has_usable(pool)
         return any(server.server not in excluded for server in self._registry.usable(pool))
 
+    def rate_delay_s(
+        self, pool: str, excluded: Collection[str] = (), delegable: bool = False
+    ) -> float:
+        """Return the seconds until the stated rates allow a request to any server of a pool.
+
+        Infinite if the pool has no server apart from those excluded.
+        """
+        if not self._rates.active:
+            return 0.0 if self.has_servers(pool, excluded) else math.inf
+        servers = [s for s in self._registry.usable(pool) if s.server not in excluded]
+        return min((self._rate_delay_s(s, delegable) for s in servers), default=math.inf)
+
+    def reserve(
+        self, pool: str, latest_at: float, excluded: Collection[str] = ()
+    ) -> Reservation | None:
+        """Reserve the first slot of a pool's servers; None if there is none until ``latest_at``."""
+        servers = [s for s in self._registry.usable(pool) if s.server not in excluded]
+        if not servers:
+            return None
+        first = min(servers, key=self._rates.delay_s)
+        at = self._rates.reserve(first, latest_at)
+        return None if at is None else Reservation(first, at)
+
+    def _rate_delay_s(self, server: DiscoveredServer, delegable: bool) -> float:
+        if delegable and self._is_delegated(server):
+            return self._rates.delegate_delay_s(server)
+        return self._rates.delay_s(server)
+
+    def is_usable(self, server: DiscoveredServer) -> bool:
+        """Return whether a server, in the lifetime that was chosen, still accepts requests."""
+        known = self._registry.get(server.server)
+        return (
+            known is not None and known.same_lifetime(server) and self._registry.takes_work(known)
+        )
+
     def _candidates(
         self, rules: PoolRules, excluded: Collection[str], allowed: Collection[str] | None
     ) -> list[DiscoveredServer]:
--- a/bergamotgate/relay/context.py
+++ b/bergamotgate/relay/context.py
@@ -7,10 +7,12 @@
 from bergamotgate.clock import Clock
 from bergamotgate.config.catalogue import Catalogue, PoolRules, Route
 from bergamotgate.metrics import Metrics
+from bergamotgate.outcomes import NotRun, NotRunReason
 from bergamotgate.placement.chooser import ServerChooser
 from bergamotgate.placement.extra import PoolExtraBudget
 from bergamotgate.relay.budgets import ExtraBudgets
 from bergamotgate.relay.crashes import CrashDetector
+from bergamotgate.relay.messages import FailedAnswer
 from bergamotgate.relay.sender import Sender
 from bergamotgate.relay.servers import ServerTracker
 
@@ -22,6 +24,7 @@
     "Wakeup",
     "client_deadline",
     "pool_rules",
+    "refuse_for_rate",
 ]
 
 # Time between the final answer and the client's timeout.
@@ -29,6 +32,9 @@
 # A request that crashed servers is rejected for longer than a caller waits.
 QUARANTINED_RETRY_S = 30.0
 
+# Shortest advice to a caller whose request was refused for the stated rate of the servers.
+MIN_RATE_RETRY_S = 0.05
+
 # Connection limit of a pool that the configuration does not describe.
 DEFAULT_MAX_CONNECTIONS = 16
 # Weights of a new lag observation, and the maximum lag that is taken into account.
@@ -72,6 +78,11 @@
         return False
 
 
+def refuse_for_rate(delay_s: float) -> FailedAnswer:
+    """Refuse a request that the stated rates of the servers allow only after a delay."""
+    return FailedAnswer(NotRun(NotRunReason.RATE_LIMITED), max(MIN_RATE_RETRY_S, delay_s))
+
+
 def pool_rules(catalogue: Catalogue, pool: str) -> PoolRules:
     """Return the rules of a pool; conservative defaults if the catalogue has none."""
     rules = catalogue.rules_by_pool.get(pool)
--- a/bergamotgate/relay/messages.py
+++ b/bergamotgate/relay/messages.py
@@ -18,8 +18,10 @@
     "MergedAnswer",
     "OnEnd",
     "PendingSubRequest",
+    "RateDeclined",
     "RecordFilter",
     "RemoteZoneSender",
+    "SendEnd",
     "SendFailure",
     "SendResult",
     "ServerCodec",
@@ -108,21 +110,42 @@
     OVERSIZED = "oversized"
     DELEGATE_LOST = "delegate_lost"
     DELEGATE_UNREACHABLE = "delegate_unreachable"
+    RATE_LIMITED = "rate_limited"
 
     @property
     def proves_not_run(self) -> bool:
         """Whether the request certainly did not reach the server."""
-        return self in (SendFailure.NOT_SENT, SendFailure.DELEGATE_UNREACHABLE)
+        return self in (
+            SendFailure.NOT_SENT,
+            SendFailure.DELEGATE_UNREACHABLE,
+            SendFailure.RATE_LIMITED,
+        )
 
     @property
     def concerns_server(self) -> bool:
-        """Whether the failure counts against the server rather than against the delegate."""
-        return self not in (SendFailure.DELEGATE_LOST, SendFailure.DELEGATE_UNREACHABLE)
+        """Whether the failure counts against the server."""
+        return self not in (
+            SendFailure.DELEGATE_LOST,
+            SendFailure.DELEGATE_UNREACHABLE,
+            SendFailure.RATE_LIMITED,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class RateDeclined:
+    """A delegate did not send a sub-request: its part of the server's stated rate is used up.
+
+    Attributes:
+        retry_s: Seconds after which it may send the next one.
+    """
+
+    retry_s: float
 
 
 SendResult = ServerReply | SendFailure
-# Called with the end of one sub-request: its reply, raw or decoded, or why there is none.
-OnEnd = Callable[[RawReply | ExchangeFailure | ServerReply | SendFailure], None]
+# The end of one sub-request: its reply, raw or decoded, or why there is none.
+SendEnd = RawReply | ExchangeFailure | ServerReply | SendFailure | RateDeclined
+OnEnd = Callable[[SendEnd], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -206,6 +229,9 @@
     ) -> DelegatedSubRequest | None:
         """Send a sub-request; None if its zone is this VM's own or has no delegate."""
 
+    def reaches(self, server: DiscoveredServer) -> bool:
+        """Return whether sub-requests to a server go through a delegate now."""
+
 
 class ServerCodec(Protocol):
     """Encodes sub-requests to backend servers and decodes their replies."""
--- a/bergamotgate/relay/scatter.py
+++ b/bergamotgate/relay/scatter.py
@@ -18,6 +18,7 @@
     Wakeup,
     client_deadline,
     pool_rules,
+    refuse_for_rate,
 )
 from bergamotgate.relay.decisions import log_budget_exhausted, log_failure, log_hedge, log_retry
 from bergamotgate.relay.messages import (
@@ -48,7 +49,8 @@
 SWEEP_INTERVAL_S = 0.008
 LATE_SWEEP_INTERVAL_S = 0.040
 NO_SERVER_RETRY_S = 1.0
-# A shard whose servers all refuse connections is tried again after this time.
+# A shard whose servers all refuse connections, or whose stated rates allow no request in time, is
+# tried again after this time.
 UNAVAILABLE_RETRY_S = 0.05
 
 
@@ -114,6 +116,9 @@
             return FailedAnswer(NotRun(NotRunReason.QUARANTINED), QUARANTINED_RETRY_S)
         if self._count_reachable_shards() < self._route.shards.min_shards:
             return FailedAnswer(NotRun(NotRunReason.NO_SERVER), NO_SERVER_RETRY_S)
+        rate_delay_s = self._rate_delay_s()
+        if rate_delay_s > 0 and (self._context.clock.now() + rate_delay_s > self._latest_send_at()):
+            return refuse_for_rate(rate_delay_s)
         try:
             if self._suspicion.needs_canary:
                 self._send_first(self._shards[0])
@@ -127,6 +132,20 @@
             self._cancel_all()
         return self._answer()
 
+    def _rate_delay_s(self) -> float:
+        """Seconds until the stated rates of the servers allow enough shards to be asked."""
+        chooser = self._context.chooser
+        delays_s = [chooser.rate_delay_s(s.pool, (), self._delegable) for s in self._shards]
+        return sorted(delays_s)[self._route.shards.min_shards - 1]
+
+    def _latest_send_at(self) -> float:
+        """Time on the local clock after which a first sub-request would miss the objective."""
+        return self._objective_at - self._latency.median_s
+
+    @property
+    def _delegable(self) -> bool:
+        return not self._suspicion.suspected
+
     def missing_pools(self) -> list[str]:
         """Return the pools of the missing shards."""
         return [shard.pool for shard in self._shards if shard.reply is None]
@@ -217,16 +236,21 @@
             log_hedge(self._request, slow, shard.sub_attempts[-1], self._latency.p90_s)
 
     def _send_first(self, shard: _Shard) -> None:
-        """Send to a server that has not refused; note when there is none."""
+        """Send to a server that has not refused; note when none can be asked in time."""
         if self._send(shard, shard.refused):
             if not shard.counted:
                 shard.counted = True
                 self._context.budget(shard.pool).note_first()
-        elif not self._context.chooser.has_servers(shard.pool, shard.refused):
+        elif self._is_unavailable(shard):
             shard.retry_at = self._context.clock.now() + UNAVAILABLE_RETRY_S
             self._unavailable_count += 1
             self._wake_if_settled()
 
+    def _is_unavailable(self, shard: _Shard) -> bool:
+        """Whether no server of a shard that cannot be asked now can be asked in time."""
+        delay_s = self._context.chooser.rate_delay_s(shard.pool, shard.refused, self._delegable)
+        return delay_s > 0 and self._context.clock.now() + delay_s > self._latest_send_at()
+
     def _try_anew(self, shard: _Shard) -> None:
         """Try the servers of a shard again that had none available."""
         shard.retry_at = None
@@ -260,7 +284,7 @@
         self, shard: _Shard, tried: Collection[str], allowed: Collection[str] | None = None
     ) -> bool:
         rules = pool_rules(self._catalogue, shard.pool)
-        server = self._context.chooser.choose(rules, self._latency, tried, allowed)
+        server = self._context.chooser.choose(rules, self._latency, tried, allowed, self._delegable)
         if server is None:
             return False
         shard.tried.append(server.server)
--- a/bergamotgate/relay/sender.py
+++ b/bergamotgate/relay/sender.py
@@ -1,5 +1,6 @@
 """Sends sub-requests to servers and updates load and latency estimates from their results."""
 
+import asyncio
 import itertools
 from collections.abc import Callable
 
@@ -17,8 +18,10 @@
 from bergamotgate.relay.messages import (
     ClientRequest,
     PendingSubRequest,
+    RateDeclined,
     RecordFilter,
     RemoteZoneSender,
+    SendEnd,
     SendFailure,
     SendResult,
     ServerCodec,
@@ -111,6 +114,7 @@
         suspicion: Suspicion,
         on_result: OnResult,
         record_filter: RecordFilter | None = None,
+        slot_reserved: bool = False,
     ) -> SubAttempt:
         """Send a request to a server and call back exactly once with the result.
 
@@ -122,6 +126,7 @@
             suspicion: Quarantine state of the request at the start of its run.
             on_result: Called with the sub-attempt and its result; not called after a cancel.
             record_filter: Records of the reply to keep; None to keep the complete reply.
+            slot_reserved: Whether a slot of the server's stated rate was reserved for it.
         """
         now = self._clock.now()
         load = self._servers.load_of(server.server)
@@ -130,10 +135,9 @@
             next(self._numbers), request, server, load, latency, suspicion, now
         )
         load.begin(sub_attempt.number)
-        self._rates.note_sent(server)
         budget_s = max(MIN_BUDGET_MS / 1000, deadline - now)
 
-        def on_end(end: RawReply | ExchangeFailure | ServerReply | SendFailure) -> None:
+        def on_end(end: SendEnd) -> None:
             self._handle_end(sub_attempt, end, on_result)
 
         if (
@@ -146,6 +150,10 @@
                 sub_attempt.exchange = delegated
                 sub_attempt.via = delegated.via
                 return sub_attempt
+        if not slot_reserved and not self._rates.take(server):
+            loop = asyncio.get_running_loop()
+            sub_attempt.exchange = loop.call_soon(on_end, SendFailure.RATE_LIMITED)
+            return sub_attempt
         data = self._codec.encode(request, server, milliseconds(budget_s))
         sub_attempt.exchange = self._servers.connections_of(server.server).send(
             data, budget_s, not route.idempotent, on_end
@@ -155,7 +163,7 @@
     def _handle_end(
         self,
         sub_attempt: SubAttempt,
-        end: RawReply | ExchangeFailure | ServerReply | SendFailure,
+        end: SendEnd,
         on_result: OnResult,
     ) -> None:
         took_s = sub_attempt.load.end(sub_attempt.number)
@@ -180,9 +188,10 @@
             self._latency_by_pool[pool] = histogram
         histogram.observe(took_s)
 
-    def _decode(
-        self, sub_attempt: SubAttempt, end: RawReply | ExchangeFailure | ServerReply | SendFailure
-    ) -> SendResult:
+    def _decode(self, sub_attempt: SubAttempt, end: SendEnd) -> SendResult:
+        if isinstance(end, RateDeclined):
+            self._rates.note_declined(sub_attempt.server, end.retry_s)
+            return SendFailure.RATE_LIMITED
         if isinstance(end, ServerReply | SendFailure):
             return end
         if not isinstance(end, RawReply):
--- a/bergamotgate/relay/single.py
+++ b/bergamotgate/relay/single.py
@@ -1,7 +1,15 @@
-"""Runs one request at one server of a pool, more than once only if it is idempotent."""
+"""Runs one request at one server of a pool, more than once only if it is idempotent.
+
+If the rates that the servers state allow no request now, it waits for the first slot that is early
+enough for the latency objective, and is refused at once if there is none.
+"""
+
+import math
 
 from bergamotgate.config.catalogue import Catalogue, Route
+from bergamotgate.discovery.servers import DiscoveredServer
 from bergamotgate.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
+from bergamotgate.placement.chooser import Reservation
 from bergamotgate.relay.context import (
     DEADLINE_MARGIN_S,
     QUARANTINED_RETRY_S,
@@ -9,6 +17,7 @@
     Wakeup,
     client_deadline,
     pool_rules,
+    refuse_for_rate,
 )
 from bergamotgate.relay.decisions import log_budget_exhausted, log_failure, log_hedge, log_retry
 from bergamotgate.relay.messages import (
@@ -68,6 +77,7 @@
         self._wakeup = Wakeup()
         self._sub_attempts: list[SubAttempt] = []
         self._unreachable: set[str] = set()
+        self._reservation: Reservation | None = None
         self._answer: Answer | None = None
         self._failed_reply: ServerReply | None = None
         self._ambiguous_failure: SendFailure | None = None
@@ -85,8 +95,11 @@
             end_at = self._deadline - DEADLINE_MARGIN_S
             now = self._context.clock.now()
             while self._answer is None and now < end_at:
-                await self._wakeup.wait_until(min(hedge_at, end_at), now)
+                slot_at = self._reservation.at if self._reservation else end_at
+                await self._wakeup.wait_until(min(slot_at, hedge_at, end_at), now)
                 now = self._context.clock.now()
+                if self._reservation is not None and self._reservation.at <= now < end_at:
+                    self._send_reserved()
                 if self._answer is None and now >= hedge_at and now < end_at:
                     self._hedge(now)
                     hedge_at = now + HEDGE_CHECK_INTERVAL_S if self._route.idempotent else end_at
@@ -114,6 +127,8 @@
             sent = self._send()
             if sent:
                 self._context.budget(self._pool).note_first()
+            elif self._reserve():
+                return
         else:
             sent = self._send_extra()
             if sent:
@@ -122,6 +137,25 @@
         if not sent and not self._sub_attempts:
             self._set_final_answer()
 
+    def _reserve(self) -> bool:
+        """Reserve a slot of the servers' stated rates; return whether it is early enough."""
+        latest_at = (
+            self._request.arrived_at + self._route.latency_objective_s - self._latency.median_s
+        )
+        self._reservation = self._context.chooser.reserve(
+            self._pool, min(latest_at, self._deadline - DEADLINE_MARGIN_S), self._unreachable
+        )
+        return self._reservation is not None
+
+    def _send_reserved(self) -> None:
+        """Send to the server whose slot was reserved, or to another if it has gone meanwhile."""
+        server, self._reservation = self._reservation.server, None
+        if not self._context.chooser.is_usable(server):
+            self._send_next()
+            return
+        self._send_to(server, slot_reserved=True)
+        self._context.budget(self._pool).note_first()
+
     def _send_extra(self) -> bool:
         if len(set(self.servers)) >= self._route.max_servers:
             return False
@@ -134,6 +168,10 @@
         server = self._context.chooser.choose(self._rules, self._latency, tried)
         if server is None:
             return False
+        self._send_to(server)
+        return True
+
+    def _send_to(self, server: DiscoveredServer, slot_reserved: bool = False) -> None:
         self.servers.append(server.server)
         sub_attempt = self._context.sender.send(
             self._request,
@@ -142,9 +180,9 @@
             self._deadline - DEADLINE_MARGIN_S,
             self._suspicion,
             self._on_result,
+            slot_reserved=slot_reserved,
         )
         self._sub_attempts.append(sub_attempt)
-        return True
 
     def _on_result(self, sub_attempt: SubAttempt, result: SendResult) -> None:
         self._sub_attempts.remove(sub_attempt)
@@ -198,12 +236,17 @@
         elif not self._sub_attempts:
             self._set_final_answer()
 
+    def _rate_delay_s(self) -> float:
+        return self._context.chooser.rate_delay_s(self._pool, self._unreachable)
+
     def _set_final_answer(self) -> None:
         """Set the answer from the known failures when nothing more will be sent."""
         if self._failed_reply is not None:
             self._answer = ForwardedAnswer(self._failed_reply)
         elif self._ambiguous_failure is not None:
             self._answer = FailedAnswer(Unknown(UNKNOWN_REASON_BY_FAILURE[self._ambiguous_failure]))
+        elif not self.servers and 0 < (delay_s := self._rate_delay_s()) < math.inf:
+            self._answer = refuse_for_rate(delay_s)
         elif self._context.chooser.has_servers(self._pool):
             self._answer = FailedAnswer(NotRun(NotRunReason.ALL_DECLINED), ALL_DECLINED_RETRY_S)
         else:
--- a/idl/bergamotgate.thrift
+++ b/idl/bergamotgate.thrift
@@ -191,7 +191,8 @@
 }
 
 // ``status`` and the fields after it are set only if the server replied. ``rate_limit`` is the request
-// rate a second that the server states for all VMs together; absent if it states none.
+// rate a second that the server states for all VMs together; absent if it states none. ``retry_ms`` is set if the request was not sent because the delegate's part of
+// that rate is used up: it has more after that time.
 struct DelegatedReply {
   1: required i64 number
   2: required DelegatedEnd end
@@ -201,6 +202,7 @@
   6: optional string digest
   7: optional binary records
   8: optional double rate_limit
+  9: optional i32 retry_ms
 }
 
 struct Frame {
--- a/tests/test_delegate.py
+++ b/tests/test_delegate.py
@@ -49,6 +49,7 @@
         service = DelegateService(
             self.delegate.registry,
             self.delegate.servers,
+            self.delegate.rates,
             self.delegate.codec,
             self.clock,
             self.delegate.metrics,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -7,9 +7,11 @@
 from bergamotgate.clock import LoopClock
 from bergamotgate.config.catalogue import PoolRules
 from bergamotgate.discovery import DiscoveredServer, ServerRegistry, ServerStanding
+from bergamotgate.metrics import Metrics
 from bergamotgate.placement import (
     ColdStartLimiter,
     PoolExtraBudget,
+    RateLimiter,
     RouteLatency,
     ServerChooser,
     ServerLoad,
@@ -52,11 +54,16 @@
     for server in servers:
         registry.register(server)
     names = [f"vm-{n}" for n in range(vms)]
+    rates = RateLimiter(
+        SimpleNamespace(divisor=lambda server, rate_per_s: vms), clock, random.Random(1), Metrics()
+    )
     chooser = ServerChooser(
         "a",
         registry,
         load_by_server.__getitem__,
         ColdStartLimiter("vm-0", lambda: names, clock),
+        rates,
+        lambda server: False,
         lambda: vms,
         clock,
         random.Random(1),
@@ -66,6 +73,8 @@
         clock=clock,
         registry=registry,
         load_by_server=load_by_server,
+        rates=rates,
+        chooser=chooser,
         choose=lambda tried=(), rules=RULES: chooser.choose(rules, latency, tried),
     )
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -51,11 +51,25 @@
     return number.to_bytes(16, "big")
 
 
+class EqualShares:
+    """Divides the rates of all servers equally among a number of VMs."""
+
+    def __init__(self, vms: float):
+        self.vms = vms
+
+    def divisor(self, server, rate_per_s) -> float:
+        return self.vms
+
+
 class RelayFixture:
     """A query handler and the servers that it relays to."""
 
     def __init__(
-        self, remote_sender: RemoteZoneSender | None = None, clock: Clock | None = None, **config
+        self,
+        remote_sender: RemoteZoneSender | None = None,
+        clock: Clock | None = None,
+        vms: float = 1.0,
+        **config,
     ):
         self.clock = clock or MonotonicClock()
         self.metrics = Metrics()
@@ -63,9 +77,18 @@
         self.servers = ServerTracker(self.registry, self.clock, self.metrics)
         cold = ColdStartLimiter("vm", lambda: ["vm"], self.clock)
         rng = random.Random(1)
-        self.rates = RateLimiter(self.clock, self.metrics)
+        self.rates = RateLimiter(EqualShares(vms), self.clock, random.Random(1), self.metrics)
+        is_delegated = remote_sender.reaches if remote_sender else lambda server: False
         chooser = ServerChooser(
-            "a", self.registry, self.servers.load_of, cold, lambda: 1, self.clock, rng
+            "a",
+            self.registry,
+            self.servers.load_of,
+            cold,
+            self.rates,
+            is_delegated,
+            lambda: 1,
+            self.clock,
+            rng,
         )
         budgets = ExtraBudgets(ExtraRules(0.2, 50, 10.0), lambda: 1, self.clock, True)
         port = PeerPort("vm", 1, self.metrics)
