Cut no request at the end of a planned stop

Reported by other operators: requests that came late in the grace of a planned stop were taken and passed on, and at its end cut without an answer. It could happen here: while other requests ran, kept connections were served until 0.6 s before the kill, with each request's own time limit, and all connections were closed then.

After the time in which clients learn of other addresses, a request that may run once only is now refused as not run, and one that may be repeated is taken only if its latency objective ends in time. What still runs is answered 0.2 s before the connections close: with the shards that have replied, or as unknown. The test failed before (the late booking ran; both connections ended without an answer).

--- a/bergamotgate/gateway/handler.py
+++ b/bergamotgate/gateway/handler.py
@@ -57,6 +57,8 @@
         self._rng = rng
         self._metrics = metrics
         self._started_at = clock.now()
+        self._finish_at = float("inf")
+        self._runs: set[ScatterRun | SingleRun] = set()
         self.in_progress = 0
         self.draining = False
 
@@ -64,6 +66,12 @@
         """Hold requests until the view is confirmed, as it may be stale after a pause."""
         self._unconfirmed_since = self._clock.now()
 
+    def finish_by(self, at: float) -> None:
+        """Answer every request by that time on the local clock, and take only what can be done."""
+        self._finish_at = at
+        for run in self._runs:
+            run.end_by(at)
+
     async def handle(self, request: ClientRequest) -> Answer:
         """Relay one request and return its answer."""
         if self._unconfirmed_since is not None:
@@ -76,12 +84,27 @@
         if route is None:
             answer = FailedAnswer(NotRun(NotRunReason.NO_ROUTE))
             return self._record(request, catalogue, None, answer, None)
+        if not self._can_finish(route):
+            answer = FailedAnswer(NotRun(NotRunReason.DRAINING))
+            return self._record(request, catalogue, route, answer, None)
         self.in_progress += 1
         try:
             return await self._relay(request, catalogue, route)
         finally:
             self.in_progress -= 1
 
+    def _can_finish(self, route: Route) -> bool:
+        """Whether a request that comes now will not be cut off when the process stops.
+
+        One that may run once only is not begun while the process finishes its work: if it takes
+        longer than usual, its outcome would be lost.
+        """
+        if self._finish_at == float("inf"):
+            return True
+        return route.idempotent and (
+            self._clock.now() + route.latency_objective_s <= self._finish_at
+        )
+
     async def _wait_for_catalogue(self) -> Catalogue | None:
         """Wait for the first configuration during startup."""
         while self._catalogue() is None and self._clock.now() < self._started_at + STARTUP_WAIT_S:
@@ -103,11 +126,16 @@
         else:
             pool = route.choose_pool(self._rng)
             run = SingleRun(request, route, pool, catalogue, self._relay_context)
+        if self._finish_at < float("inf"):
+            run.end_by(self._finish_at)
+        self._runs.add(run)
         try:
             answer = await run.run()
         except Exception:
             logger.exception("gateway: Request {} failed with an internal error.", request.attempt)
             answer = FailedAnswer(Unknown(UnknownReason.INTERNAL))
+        finally:
+            self._runs.discard(run)
         return self._record(request, catalogue, route, answer, run)
 
     def _record(
--- a/bergamotgate/platform/ingress.py
+++ b/bergamotgate/platform/ingress.py
@@ -52,6 +52,8 @@
 IDLE_TIMEOUT_S = 60.0
 BODY_TIMEOUT_S = 20.0
 DRAIN_CHECK_INTERVAL_S = 0.02
+# Time to write the last answers before all connections are closed.
+ANSWER_MARGIN_S = 0.2
 # A lost packet inflates the kernel's round-trip time; no reachable client is further away.
 MAX_ROUND_TRIP_S = 0.1
 UNKNOWN_STATUS = {UnknownReason.TIMED_OUT: 504}
@@ -131,6 +133,8 @@
     async def drain(self, until: float) -> bool:
         """Stop listening, finish the requests that were read, and close all connections.
 
+        Requests that would not be finished get the answer that is true for them shortly before.
+
         Args:
             until: Time on the local clock at which all connections are closed.
 
@@ -139,6 +143,7 @@
         """
         for server in self._servers:
             server.stop()
+        self._node.handler.finish_by(until - ANSWER_MARGIN_S)
         while self._is_busy() and self._clock.now() < until:
             await self._clock.sleep(DRAIN_CHECK_INTERVAL_S)
         finished = not self._is_busy()
--- a/bergamotgate/relay/scatter.py
+++ b/bergamotgate/relay/scatter.py
@@ -146,6 +146,11 @@
     def _delegable(self) -> bool:
         return not self._suspicion.suspected
 
+    def end_by(self, at: float) -> None:
+        """Answer by that time on the local clock, with what is known by then."""
+        self._deadline = min(self._deadline, at + DEADLINE_MARGIN_S)
+        self._wakeup.set()
+
     def missing_pools(self) -> list[str]:
         """Return the pools of the missing shards."""
         return [shard.pool for shard in self._shards if shard.reply is None]
--- a/bergamotgate/relay/single.py
+++ b/bergamotgate/relay/single.py
@@ -92,21 +92,37 @@
         try:
             self._send_next()
             hedge_at = self._request.arrived_at + self._hedge_delay_s()
-            end_at = self._deadline - DEADLINE_MARGIN_S
             now = self._context.clock.now()
-            while self._answer is None and now < end_at:
-                slot_at = self._reservation.at if self._reservation else end_at
-                await self._wakeup.wait_until(min(slot_at, hedge_at, end_at), now)
+            while self._answer is None and now < self._end_at:
+                slot_at = self._reservation.at if self._reservation else self._end_at
+                await self._wakeup.wait_until(min(slot_at, hedge_at, self._end_at), now)
                 now = self._context.clock.now()
-                if self._reservation is not None and self._reservation.at <= now < end_at:
+                if self._reservation is not None and slot_at <= now < self._end_at:
                     self._send_reserved()
-                if self._answer is None and now >= hedge_at and now < end_at:
+                if self._answer is None and hedge_at <= now < self._end_at:
                     self._hedge(now)
-                    hedge_at = now + HEDGE_CHECK_INTERVAL_S if self._route.idempotent else end_at
+                    idempotent = self._route.idempotent
+                    hedge_at = now + HEDGE_CHECK_INTERVAL_S if idempotent else self._end_at
         finally:
             for sub_attempt in self._sub_attempts:
                 sub_attempt.cancel()
-        return self._answer or FailedAnswer(Unknown(UnknownReason.TIMED_OUT))
+        return self._answer or self._late_answer()
+
+    @property
+    def _end_at(self) -> float:
+        """Time on the local clock at which the request is answered at the latest."""
+        return self._deadline - DEADLINE_MARGIN_S
+
+    def end_by(self, at: float) -> None:
+        """Answer by that time on the local clock, with what is known by then."""
+        self._deadline = min(self._deadline, at + DEADLINE_MARGIN_S)
+        self._wakeup.set()
+
+    def _late_answer(self) -> Answer:
+        """Return the answer at the deadline; one that waited for its slot has not run."""
+        if self._reservation is not None:
+            return FailedAnswer(NotRun(NotRunReason.RATE_LIMITED))
+        return FailedAnswer(Unknown(UnknownReason.TIMED_OUT))
 
     def _hedge_delay_s(self) -> float:
         if not self._route.idempotent:
@@ -143,7 +159,7 @@
             self._request.arrived_at + self._route.latency_objective_s - self._latency.median_s
         )
         self._reservation = self._context.chooser.reserve(
-            self._pool, min(latest_at, self._deadline - DEADLINE_MARGIN_S), self._unreachable
+            self._pool, min(latest_at, self._end_at), self._unreachable
         )
         return self._reservation is not None
 
@@ -177,7 +193,7 @@
             self._request,
             self._route,
             server,
-            self._deadline - DEADLINE_MARGIN_S,
+            self._end_at,
             self._suspicion,
             self._on_result,
             slot_reserved=slot_reserved,
@@ -221,10 +237,7 @@
         return FailedAnswer(Unknown(UnknownReason.SERVER_ERROR))
 
     def _retry(self) -> None:
-        if (
-            not self._sub_attempts
-            and self._context.clock.now() < self._deadline - DEADLINE_MARGIN_S
-        ):
+        if not self._sub_attempts and self._context.clock.now() < self._end_at:
             self._send_next()
 
     def _may_repeat(self) -> bool:
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -10,10 +10,17 @@
 from bergamotgate.platform.ingress import Ingress
 from bergamotgate.relay.messages import FailedAnswer, MergedAnswer
 from tests.support import check, make_load_tests, real_time
+from tests.test_relay import RelayFixture, make_shards
 
 REQUEST = b"GET /s/1 HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: a1\r\nX-Deadline-Ms: 900\r\n\r\n"
 
 
+BOOKING = (
+    b"POST /b/1 HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: a1\r\n"
+    b"X-Deadline-Ms: 90000\r\nContent-Length: 0\r\n\r\n"
+)
+
+
 def free_address() -> str:
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
@@ -39,8 +46,11 @@
             self.in_progress -= 1
         return self.answer
 
+    def finish_by(self, at: float) -> None:
+        pass
 
-def make_ingress(handler: FakeHandler) -> Ingress:
+
+def make_ingress(handler) -> Ingress:
     settings = SimpleNamespace(front=free_address(), ready=free_address(), directory=free_address())
     node = SimpleNamespace(
         settings=settings,
@@ -53,6 +63,11 @@
     return ingress
 
 
+async def connect(address: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, port = address.split(":")
+    return await asyncio.open_connection(host, int(port))
+
+
 async def send_raw(address: str, data: bytes) -> bytes:
     host, port = address.split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
@@ -146,6 +161,59 @@
     check.assertNotEqual(set(), await stop_under_load(drain_s=0.0))
 
 
+@real_time
+async def test_planned_stop_cuts_no_request_that_comes_late_or_runs_long():
+    relay = RelayFixture()
+    server = await relay.add_server("desk", body=b"x")
+    ingress = make_ingress(relay.handler)
+    kept, running = [await connect(ingress.settings.front) for _ in range(2)]
+    for reader, writer in (kept, running):
+        writer.write(BOOKING)
+        await reader.readuntil(b"\r\n\r\nx")
+    server.service_s = 60.0
+    running[1].write(BOOKING)
+    while server.run_count < 3:
+        await asyncio.sleep(0.01)
+    relay.handler.draining = True
+    drain = asyncio.ensure_future(ingress.drain(await deadline_in(0.6)))
+    await asyncio.sleep(0)
+    kept[1].write(BOOKING)
+    late_reply, running_reply = [await reader.read() for reader, _ in (kept, running)]
+    check.assertTrue(late_reply.startswith(b"HTTP/1.1 503 "), late_reply)
+    check.assertIn(b"Connection: close\r\n", late_reply)
+    check.assertTrue(running_reply.startswith(b"HTTP/1.1 504 "), running_reply)
+    check.assertEqual(3, server.run_count)
+    check.assertTrue(await drain)
+    for _, writer in (kept, running):
+        writer.close()
+    await relay.close()
+
+
+@real_time
+async def test_late_request_that_may_be_repeated_is_served_while_there_is_time():
+    relay = RelayFixture()
+    await make_shards(relay)
+    server = await relay.add_server("desk", body=b"x", service_s=60.0)
+    ingress = make_ingress(relay.handler)
+    _, running = await connect(ingress.settings.front)
+    reader, writer = await connect(ingress.settings.front)
+    running.write(BOOKING)
+    writer.write(REQUEST)
+    await reader.readuntil(b"\r\n\r\n")
+    while not server.run_count:
+        await asyncio.sleep(0.01)
+    relay.handler.draining = True
+    drain = asyncio.ensure_future(ingress.drain(await deadline_in(30.0)))
+    await asyncio.sleep(0)
+    writer.write(REQUEST)
+    reply = await reader.read()
+    check.assertIn(b"HTTP/1.1 200 ", reply)
+    running.close()
+    check.assertTrue(await drain)
+    writer.close()
+    await relay.close()
+
+
 @real_time
 async def test_request_without_attempt_id_is_rejected():
     ingress = make_ingress(FakeHandler())
