Return the extra budget of a hedge that was declined for a stated rate

A hedge or retry that a delegate declines has reached no server, but used up the pool's budget, so that a shard with one server in need could run out of hedges for its other queries. The test failed before.

--- a/bergamotgate/relay/scatter.py
+++ b/bergamotgate/relay/scatter.py
@@ -274,11 +274,14 @@
         if allowed is None and len(set(shard.tried)) >= self._route.max_servers:
             return False
         tried = shard.tried if allowed is None else ()
-        return self._context.send_extra(
+        sent = self._context.send_extra(
             shard.pool,
             lambda: self._send(shard, tried, allowed),
             lambda: self._note_budget_exhausted(shard),
         )
+        if sent:
+            shard.sub_attempts[-1].extra = True
+        return sent
 
     def _note_budget_exhausted(self, shard: _Shard) -> None:
         if not shard.budget_exhausted:
@@ -318,6 +321,8 @@
         unsent = isinstance(result, SendFailure) and result.proves_not_run
         if unsent:
             shard.tried.remove(sub_attempt.server.server)
+            if result is SendFailure.RATE_LIMITED and sub_attempt.extra:
+                self._context.budget(shard.pool).refund()
             if result is SendFailure.NOT_SENT:
                 shard.refused.add(sub_attempt.server.server)
         if self._suspicion.suspected:
--- a/bergamotgate/relay/sender.py
+++ b/bergamotgate/relay/sender.py
@@ -50,6 +50,7 @@
         server: The server to which it was sent.
         started_at: Time on the local clock at which it was sent.
         via: VM of the delegate that it goes through; empty if it was sent directly.
+        extra: Whether it is a hedge or a retry, which the pool's extra budget pays for.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         self.started_at = started_at
         self.exchange: PendingSubRequest | None = None
         self.via = ""
+        self.extra = False
 
     def cancel(self) -> None:
         """Cancel it; the server drops the request when its connection closes."""
--- a/tests/test_delegate.py
+++ b/tests/test_delegate.py
@@ -222,6 +222,27 @@
     await vms.close()
 
 
+@real_time
+async def test_hedge_that_a_delegate_declines_for_the_stated_rate_costs_no_budget():
+    vms = TwoVms(targetLatencyMs=200)
+    await vms.start()
+    shards = await vms.add_shards("ab")
+    limited = shards[0][1]
+    limited.stated_rate = "0.2"
+    server = vms.delegate.registry.get(limited.server)
+    vms.delegate.rates.note_reply(server, 0.2, vms.clock.now())
+    while vms.delegate.rates.take(server):
+        pass
+    shards[0][0].service_s = LONG_TIMEOUT_S
+    answer = await vms.send_request("/s/x", client_timeout_s=2.0)
+    check.assertEqual(1, answer.missing)
+    check.assertEqual([], limited.received_requests)
+    declined = vms.gateway.metrics.rate_limited.labels("shard-0", "declined")
+    check.assertGreaterEqual(declined._value.get(), 1)
+    check.assertEqual(0, vms.gateway.context.budget("shard-0").extra)
+    await vms.close()
+
+
 def test_records_below_the_floor_do_not_change_the_answer():
     rng = random.Random(5)
     for _ in range(300):
