Tell peers at once that the limit of a server has ended

Callers of some VMs got the servers that had recovered only late: with a rate of 1 a second the next request of a VM with a small part of it is 55 s away, and only the reply to its own request showed such a VM that the limit had ended.

The VM that sees the end in a reply now tells its peers in a datagram. News that is wrong costs one request for each VM. The test failed before (4 of 6 VMs went on waiting).

--- a/bergamotgate/gateway/node.py
+++ b/bergamotgate/gateway/node.py
@@ -10,6 +10,7 @@
 from bergamotgate.delegate import DelegateClient, DelegateService
 from bergamotgate.gateway.directory import ClientDirectory
 from bergamotgate.gateway.handler import QueryHandler
+from bergamotgate.gateway.limitends import LimitEndNews
 from bergamotgate.gateway.localview import ItemDecoder, LocalView
 from bergamotgate.gateway.pauses import PauseWatch, suspended_s
 from bergamotgate.gateway.peers import PeerStreams
@@ -115,6 +116,7 @@
     Attributes:
         handler: Handles client requests.
         directory: Chooses the addresses that clients connect to.
+        rates: Limits requests to servers that state a request rate.
         metrics: Metrics of this process.
     """
 
@@ -221,8 +223,9 @@
         shares = SenderShares(
             self.members, self.directory, lambda: self.local_view.catalogue, clock
         )
-        rates = RateLimiter(shares, clock, services.rng, self.metrics)
+        self.rates = rates = RateLimiter(shares, clock, services.rng, self.metrics)
         registry.on_end(lambda server: rates.forget(server.server))
+        self._limit_ends = LimitEndNews(self.port, self._peer_addresses, rates)
         self.delegates = DelegateClient(self.members, services.network, clock, self.metrics)
         chooser = ServerChooser(
             self.settings.zone,
--- a/bergamotgate/placement/rates.py
+++ b/bergamotgate/placement/rates.py
@@ -1,13 +1,16 @@
 """Limits requests to servers that state a request rate for all VMs together.
 
 A server states the rate in its replies. Each VM that sends to the server learns it from them and
-uses its own part of it, so that no message between VMs is needed. The part is a sequence of slots,
-one for each request; a slot that is not used in time expires, so that VMs cannot save requests and
-send them all at once.
+uses its own part of it. The part is a sequence of slots, one for each request; a slot that is not
+used in time expires, so that VMs cannot save requests and send them all at once.
+
+The VM to whose request a server states no rate any more tells its peers: the next slot of a VM with
+a small part may be minutes away, and until then it would not learn that the limit has ended.
 """
 
 import math
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -71,6 +74,11 @@
         self._metrics = metrics
         self._stated_by_server: dict[str, _StatedRate] = {}
         self._declined_until_by_server: dict[str, float] = {}
+        self._on_limit_end: list[Callable[[str], None]] = []
+
+    def on_limit_end(self, callback: Callable[[str], None]) -> None:
+        """Call back with the server when a reply shows that it states no rate any more."""
+        self._on_limit_end.append(callback)
 
     @property
     def active(self) -> bool:
@@ -144,8 +152,10 @@
         now = self._clock.now()
         if rate_per_s is None:
             if stated is not None and sent_at > stated.stated_at:
-                del self._stated_by_server[server.server]
+                self.forget(server.server)
                 self._log(server, None, "placement: Server states no request rate any more.")
+                for callback in self._on_limit_end:
+                    callback(server.server)
         elif stated is None:
             self._start(server, rate_per_s, now)
         else:
@@ -154,7 +164,7 @@
             self._report(server, stated, now)
 
     def forget(self, server: str) -> None:
-        """Remove the state of a server."""
+        """Send to a server as if it had never stated a rate; its next reply may state one again."""
         self._stated_by_server.pop(server, None)
         self._declined_until_by_server.pop(server, None)
 
--- a/idl/bergamotgate.thrift
+++ b/idl/bergamotgate.thrift
@@ -50,6 +50,7 @@
   5: required list<PublishedItem> items
 }
 
+// ``limits_ended`` names backend servers that state no request rate any more.
 struct Datagram {
   1: required i16 version
   2: required string sender
@@ -64,6 +65,7 @@
   11: optional list<Strike> strikes
   12: optional bool reply_wanted
   13: optional PublishedNews news
+  14: optional list<string> limits_ended
 }
 
 enum Outcome {
@@ -190,9 +192,10 @@
   WRONG_REPLY = 6
 }
 
-// ``status`` and the fields after it are set only if the server replied. ``rate_limit`` is the request
-// rate a second that the server states for all VMs together; absent if it states none. ``retry_ms`` is set if the request was not sent because the delegate's part of
-// that rate is used up: it has more after that time.
+// ``status`` and the fields after it, up to ``rate_limit``, are set only if the server replied.
+// ``rate_limit`` is the number of requests per second that the server states for all VMs together;
+// absent if it states none. ``retry_ms`` is set if nothing was sent because the delegate's part of
+// that rate is used up: the part allows the next request after that time.
 struct DelegatedReply {
   1: required i64 number
   2: required DelegatedEnd end
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,6 +12,7 @@
 from bergamotgate.membership import Member, MemberState, MemberTable
 from tests.gateways import GatewayFleet, make_config, make_server
 from tests.support import check, make_load_tests, virtual_time
+from tests.test_placement import make_server as make_discovered_server
 
 DISCOVERY_S = 5.0
 
@@ -152,6 +153,25 @@
     task.cancel()
 
 
+@virtual_time
+async def test_all_vms_hear_at_once_that_the_limit_of_a_server_has_ended():
+    fleet = GatewayFleet(6)
+    fleet.source.publish("op/config", make_config(1))
+    await fleet.start(DISCOVERY_S)
+    server = make_discovered_server("limited", pool="desk")
+    for node in fleet.nodes:
+        node.rates.note_reply(server, 1.0, asyncio.get_running_loop().time())
+    await asyncio.sleep(1.0)
+    # Most VMs have so small a part of this rate that their own next request is far away.
+    waiting = [node for node in fleet.nodes if node.rates.delay_s(server) > 5.0]
+    check.assertGreater(len(waiting), 3)
+    other = next(node for node in fleet.nodes if node not in waiting)
+    other.rates.note_reply(server, None, asyncio.get_running_loop().time())
+    await asyncio.sleep(0.1)
+    check.assertEqual([0.0] * 6, [node.rates.delay_s(server) for node in fleet.nodes])
+    await fleet.close()
+
+
 def test_vms_in_the_client_directory_share_nearly_all_of_a_budget():
     vms = [
         Member(f"vm-{n}", "abc"[n % 3], "", f"f-{n}", 1, 0, MemberState.ALIVE) for n in range(60)
