Give the rate of a server to the VMs whose requests prefer it

A VM prefers a server of its own zone for single requests, but a stated rate was shared among all VMs that serve clients: with few requests a second the VM that held nine tenths of it was often in another zone and never used it.

The VMs of the server's zone, and of zones without a server of its pool, now share the rate. The test failed before: the server's own zone had 0.475 of its rate, not 0.9.

--- a/bergamotgate/gateway/node.py
+++ b/bergamotgate/gateway/node.py
@@ -221,7 +221,7 @@
             self.members, registry, lambda: self.local_view.catalogue, services.rng
         )
         shares = SenderShares(
-            self.members, self.directory, lambda: self.local_view.catalogue, clock
+            self.members, registry, self.directory, lambda: self.local_view.catalogue, clock
         )
         self.rates = rates = RateLimiter(shares, clock, services.rng, self.metrics)
         registry.on_end(lambda server: rates.forget(server.server))
--- a/bergamotgate/gateway/shares.py
+++ b/bergamotgate/gateway/shares.py
@@ -5,10 +5,11 @@
 
 from bergamotgate.clock import Clock
 from bergamotgate.config.catalogue import Catalogue
+from bergamotgate.discovery.registry import ServerRegistry
 from bergamotgate.discovery.servers import DiscoveredServer
 from bergamotgate.gateway.directory import ClientDirectory, allowance_divisor
 from bergamotgate.membership.capacity import largest_members
-from bergamotgate.membership.members import MemberTable
+from bergamotgate.membership.members import Member, MemberTable
 from bergamotgate.ownership.rendezvous import rank
 
 __all__ = ["SenderShares"]
@@ -32,17 +33,21 @@
     """This VM's part of the rate of any server.
 
     Sub-requests of queries go through the largest VMs of the server's zone, directly or as
-    delegates, so these share most of the rate. Other requests come from all VMs that serve clients.
+    delegates, so these share most of the rate. Other requests come from the VMs that serve clients,
+    and prefer a server of their own zone: those of the server's zone and of zones without a server
+    of its pool share most of the rate.
     """
 
     def __init__(
         self,
         members: MemberTable,
+        registry: ServerRegistry,
         directory: ClientDirectory,
         catalogue: Callable[[], Catalogue | None],
         clock: Clock,
     ):
         self._members = members
+        self._registry = registry
         self._directory = directory
         self._catalogue = catalogue
         self._clock = clock
@@ -51,7 +56,7 @@
         self._vm_count = 0
         self._sharded_pools: frozenset[str] = frozenset()
         self._senders_by_zone: dict[str, frozenset[str]] = {}
-        self._other_senders: frozenset[str] = frozenset()
+        self._serving: frozenset[Member] = frozenset()
         # Cached until the next refresh, as each sub-request to such a server reads it.
         self._divisor_by_use: dict[_RateUse, float] = {}
 
@@ -71,9 +76,11 @@
 
     def _senders_to(self, server: DiscoveredServer) -> frozenset[str]:
         """Return the VMs that send most requests to a server."""
-        if server.pool in self._sharded_pools:
-            return self._senders_by_zone.get(server.zone) or self._other_senders
-        return self._other_senders
+        if server.pool in self._sharded_pools and server.zone in self._senders_by_zone:
+            return self._senders_by_zone[server.zone]
+        served_zones = set(self._registry.zones_of(server.pool)) - {server.zone}
+        near = frozenset(m.vm for m in self._serving if m.zone not in served_zones)
+        return near or frozenset(m.vm for m in self._serving)
 
     def _refresh(self) -> None:
         now = self._clock.now()
@@ -96,4 +103,5 @@
             zone: frozenset(m.vm for m in largest_members([m for m in reachable if m.zone == zone]))
             for zone in {member.zone for member in reachable}
         }
-        self._other_senders = self._directory.serving_vms()
+        serving = self._directory.serving_vms()
+        self._serving = frozenset(member for member in reachable if member.vm in serving)
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -133,18 +133,21 @@
     check.assertLess(limiter.delay_s(fleet.server), 0.05)
 
 
-def make_shares(own: Member, others: list[Member], sharded: bool = True) -> SenderShares:
+def make_shares(
+    own: Member, others: list[Member], sharded: bool = True, server_zones: str = "a"
+) -> SenderShares:
     clock = FakeClock()
     members = MemberTable(own)
     for member in others:
         members.merge(member)
     registry = ServerRegistry(clock)
-    registry.register(make_server("limited"))
+    for zone in server_zones:
+        registry.register(make_server("limited" if zone == "a" else f"free-{zone}", zone))
     shards = ShardSet(("p",), 5, 0.9) if sharded else None
     route = Route("r", "h", "/", Repeatability.IDEMPOTENT, 1.0, 0.1, 2, 0, (), shards)
     catalogue = Catalogue(1, (route,), {})
     directory = ClientDirectory(members, registry, lambda: catalogue, random.Random(1))
-    return SenderShares(members, directory, lambda: catalogue, clock)
+    return SenderShares(members, registry, directory, lambda: catalogue, clock)
 
 
 def make_member(number: int, zone: str, capacity: int, state=MemberState.ALIVE) -> Member:
@@ -169,6 +172,23 @@
             check.assertGreater(largest, 0.89 * min(rate_per_s, 0.45), case)
 
 
+def test_rate_of_a_server_goes_to_the_vms_whose_requests_prefer_it():
+    fleet = [make_member(n, "abc"[n % 3], 100) for n in range(6)]
+    server = make_server("limited")
+
+    def part_by_zone(server_zones: str) -> dict[str, float]:
+        parts = {zone: 0.0 for zone in "abc"}
+        for own in fleet:
+            shares = make_shares(own, fleet, sharded=False, server_zones=server_zones)
+            parts[own.zone] += 1 / shares.divisor(server, 1.0)
+        return parts
+
+    check.assertGreater(part_by_zone("abc")["a"], 0.85)
+    parts = part_by_zone("ab")
+    check.assertGreater(parts["a"] + parts["c"], 0.85)
+    check.assertLess(parts["b"], 0.1)
+
+
 def test_vm_that_leaves_hands_its_part_to_the_others():
     leaving, staying = make_member(1, "a", 100), make_member(2, "a", 100)
     left = make_member(1, "a", 100, MemberState.LEFT)
