Let a request that stated rates refuse return when any VM may have a slot

A VM with a small part of the rate told the caller to come back when its own part allows the next request: after 75 s in the test, while the VMs together send 2 requests a second there, and the caller's next connection goes to any of them. Retry-After is now at most the interval between the requests of all VMs. The test failed before.

--- a/bergamotgate/placement/chooser.py
+++ b/bergamotgate/placement/chooser.py
@@ -124,6 +124,16 @@
         servers = [s for s in self._registry.usable(pool) if s.server not in excluded]
         return min((self._rate_delay_s(s, delegable) for s in servers), default=math.inf)
 
+    def rate_retry_s(
+        self, pool: str, excluded: Collection[str] = (), delegable: bool = False
+    ) -> float:
+        """Return the seconds after which a request that the stated rates refuse should come again.
+
+        It may come to another VM, which has a part of the rates of its own.
+        """
+        servers = [s for s in self._registry.usable(pool) if s.server not in excluded]
+        return min((self._rate_retry_s(s, delegable) for s in servers), default=math.inf)
+
     def reserve(
         self, pool: str, latest_at: float, excluded: Collection[str] = ()
     ) -> Reservation | None:
@@ -140,6 +150,10 @@
             return self._rates.delegate_delay_s(server)
         return self._rates.delay_s(server)
 
+    def _rate_retry_s(self, server: DiscoveredServer, delegable: bool) -> float:
+        delay_s = self._rate_delay_s(server, delegable)
+        return min(delay_s, self._rates.fleet_interval_s(server) or delay_s)
+
     def is_usable(self, server: DiscoveredServer) -> bool:
         """Return whether a server, in the lifetime that was chosen, still accepts requests."""
         known = self._registry.get(server.server)
--- a/bergamotgate/relay/scatter.py
+++ b/bergamotgate/relay/scatter.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 from bergamotgate.config.catalogue import Catalogue, Route
@@ -53,6 +53,9 @@
 # tried again after this time.
 UNAVAILABLE_RETRY_S = 0.05
 
+# Seconds by pool, excluded servers, and whether the request may go through a delegate.
+RateDelay = Callable[[str, Collection[str], bool], float]
+
 
 @dataclass(slots=True)
 class _Shard:
@@ -116,9 +119,11 @@
             return FailedAnswer(NotRun(NotRunReason.QUARANTINED), QUARANTINED_RETRY_S)
         if self._count_reachable_shards() < self._route.shards.min_shards:
             return FailedAnswer(NotRun(NotRunReason.NO_SERVER), NO_SERVER_RETRY_S)
-        rate_delay_s = self._rate_delay_s()
-        if rate_delay_s > 0 and (self._context.clock.now() + rate_delay_s > self._latest_send_at()):
-            return refuse_for_rate(rate_delay_s)
+        rate_delay_s = self._least_for_enough_shards(self._context.chooser.rate_delay_s)
+        if rate_delay_s > 0 and self._context.clock.now() + rate_delay_s > self._latest_send_at():
+            return refuse_for_rate(
+                self._least_for_enough_shards(self._context.chooser.rate_retry_s)
+            )
         try:
             if self._suspicion.needs_canary:
                 self._send_first(self._shards[0])
@@ -132,10 +137,9 @@
             self._cancel_all()
         return self._answer()
 
-    def _rate_delay_s(self) -> float:
-        """Seconds until the stated rates of the servers allow enough shards to be asked."""
-        chooser = self._context.chooser
-        delays_s = [chooser.rate_delay_s(s.pool, (), self._delegable) for s in self._shards]
+    def _least_for_enough_shards(self, delay_of: RateDelay) -> float:
+        """Return the shortest of the shards' delays within which enough shards can be asked."""
+        delays_s = [delay_of(shard.pool, (), self._delegable) for shard in self._shards]
         return sorted(delays_s)[self._route.shards.min_shards - 1]
 
     def _latest_send_at(self) -> float:
--- a/bergamotgate/relay/single.py
+++ b/bergamotgate/relay/single.py
@@ -249,8 +249,8 @@
         elif not self._sub_attempts:
             self._set_final_answer()
 
-    def _rate_delay_s(self) -> float:
-        return self._context.chooser.rate_delay_s(self._pool, self._unreachable)
+    def _rate_retry_s(self) -> float:
+        return self._context.chooser.rate_retry_s(self._pool, self._unreachable)
 
     def _set_final_answer(self) -> None:
         """Set the answer from the known failures when nothing more will be sent."""
@@ -258,8 +258,8 @@
             self._answer = ForwardedAnswer(self._failed_reply)
         elif self._ambiguous_failure is not None:
             self._answer = FailedAnswer(Unknown(UNKNOWN_REASON_BY_FAILURE[self._ambiguous_failure]))
-        elif not self.servers and 0 < (delay_s := self._rate_delay_s()) < math.inf:
-            self._answer = refuse_for_rate(delay_s)
+        elif not self.servers and 0 < (retry_s := self._rate_retry_s()) < math.inf:
+            self._answer = refuse_for_rate(retry_s)
         elif self._context.chooser.has_servers(self._pool):
             self._answer = FailedAnswer(NotRun(NotRunReason.ALL_DECLINED), ALL_DECLINED_RETRY_S)
         else:
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -250,4 +250,20 @@
     await relay.close()
 
 
+@real_time
+async def test_refused_request_returns_when_any_vm_may_have_the_next_slot():
+    relay = RelayFixture(minShardShare=1.0)
+    shards = await make_shards(relay, 1)
+    desk = await relay.add_server("desk", body=b"x")
+    for replica in (desk, shards[0][0]):
+        replica.stated_rate = "2"
+    relay.rates._shares.vms = 1000
+    for path in ("/b/x", "/s/x"):
+        await relay.send_request(path)
+        refused = await relay.send_request(path)
+        check.assertEqual(NotRun(NotRunReason.RATE_LIMITED), refused.outcome, path)
+        check.assertLessEqual(refused.retry_after_s, 0.5, path)
+    await relay.close()
+
+
 load_tests = make_load_tests(globals())
