--- a/bergamotgate/delegate/service.py
+++ b/bergamotgate/delegate/service.py
@@ -162,7 +162,7 @@
         if isinstance(reply, WrongReplyReason):
             self._service.metrics.wrong_replies.labels(server.pool, reply.value).inc()
             return ttypes.DelegatedReply(part.number, ttypes.DelegatedEnd.WRONG_REPLY)
-        if not reply.misdirected:
+        if reply.tells_rate_limit:
             self._service.rates.note_reply(server, reply.rate_limit, sent_at)
         records = b""
         if reply.success:
--- a/bergamotgate/relay/messages.py
+++ b/bergamotgate/relay/messages.py
@@ -89,6 +89,17 @@
         """Whether the status is 2xx and the server signed the reply."""
         return 200 <= self.status < 300 and self.digest is not None
 
+    @property
+    def tells_rate_limit(self) -> bool:
+        """Whether the reply tells if the server limits its rate.
+
+        A refusal or an error without a rate does not: a server in need may send it from a place
+        that does not know of the limit.
+        """
+        if self.misdirected:
+            return False
+        return self.rate_limit is not None or not (self.not_run or self.status >= 500)
+
 
 class WrongReplyReason(StrEnum):
     """Why a reply was rejected as not being the server's reply to the request."""
--- a/bergamotgate/relay/sender.py
+++ b/bergamotgate/relay/sender.py
@@ -206,7 +206,7 @@
 
     def _note_reply(self, sub_attempt: SubAttempt, reply: ServerReply, took_s: float) -> None:
         load = sub_attempt.load
-        if not reply.misdirected:
+        if reply.tells_rate_limit:
             self._rates.note_reply(sub_attempt.server, reply.rate_limit, sub_attempt.started_at)
         if reply.misdirected:
             load.note_failure()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -494,6 +494,19 @@
     await relay.close()
 
 
+@real_time
+async def test_refusal_or_error_without_a_rate_does_not_end_the_limit():
+    relay = RelayFixture()
+    server = await relay.add_server("desk", body=b"x", stated_rate="50")
+    await relay.send_request("/b/x")
+    server.stated_rate = None
+    for fault in (Fault.SHED, Fault.ERROR):
+        server.fault = fault
+        await relay.send_request("/b/x", client_timeout_s=0.3)
+        check.assertEqual({server.server: 50.0}, relay.rates.stated(), fault)
+    await relay.close()
+
+
 @real_time
 async def test_stated_rate_that_is_no_number_is_ignored():
     relay = RelayFixture()
