Answer requests that outlast the drain of a daemon as unknown

It takes no late request, as callers are redirected at once, but a request that ran longer than drain_s ended with a closed connection and no answer.

Such requests are now answered with the outcome unknown, reason vm_left; the caller library goes on at another VM, with the same key where the request may run once only. The test failed before (empty reply).

--- a/bergamotgate/caller/caller.py
+++ b/bergamotgate/caller/caller.py
@@ -35,7 +35,8 @@
         "redirects",
     }
 )
-KEEPER_FAILURE_REASONS = frozenset({"keeper_gone", "no_answer", "timed_out", "draining"})
+UNANSWERED_REASONS = frozenset({"no_answer", "keeper_unasked", "vm_left"})
+KEEPER_FAILURE_REASONS = frozenset({"keeper_gone", "no_answer", "timed_out", "draining", "vm_left"})
 HTTP_OK = 200
 HTTP_REDIRECT = 307
 
@@ -189,9 +190,7 @@
         return CallerMessage("GET", f"/-/addresses?zone={self._zone}", b"", {}, ADDRESS_TIMEOUT_S)
 
     def _may_retry(self, result: CallerResult) -> bool:
-        if result.reason in ("no_answer", "keeper_unasked"):
-            return True
-        return result.reason in TRANSIENT_REASONS
+        return result.reason in UNANSWERED_REASONS or result.reason in TRANSIENT_REASONS
 
     def _new_key(self) -> str | None:
         """Return an idempotency key under the current token, or None without a token."""
--- a/bergamotgate/front/handler.py
+++ b/bergamotgate/front/handler.py
@@ -1,5 +1,6 @@
 """Handles callers' requests, independent of their transport: one answer for each request."""
 
+import asyncio
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -83,9 +84,15 @@
         self._links = links
         self._clock = clock
         self._metrics = metrics
+        self._running: set[asyncio.Task] = set()
         self.in_progress = 0
         self.draining = False
 
+    def end_running(self) -> None:
+        """Answer the requests that still run as unknown, because this process stops."""
+        for task in self._running:
+            task.cancel()
+
     def takes_requests(self) -> bool:
         """Whether this VM accepts new requests."""
         own = self._members.own
@@ -108,9 +115,17 @@
         """Answer a request and record its metrics."""
         started = self._clock.now()
         self.in_progress += 1
+        running = asyncio.ensure_future(self._handle(request, started))
+        self._running.add(running)
         try:
-            route, answer = await self._handle(request, started)
+            await asyncio.wait({running})
+            if running.cancelled():
+                route, answer = self._find_route(request), render(Unknown(UnknownReason.VM_LEFT))
+            else:
+                route, answer = running.result()
         finally:
+            running.cancel()
+            self._running.discard(running)
             self.in_progress -= 1
         name = route.name if route is not None else "none"
         self._metrics.requests.labels(name, answer.result).inc()
@@ -141,10 +156,9 @@
     async def _handle(
         self, request: CallerRequest, started: float
     ) -> tuple[Route | None, CallerAnswer]:
-        tables = self._tables()
-        if tables is None:
+        if self._tables() is None:
             return None, _refuse(request, NotRunReason.NO_CONFIGURATION)
-        route = tables.route_by_match.get((request.method, request.path))
+        route = self._find_route(request)
         if route is None:
             return None, _refuse(request, NotRunReason.NO_ROUTE)
         if not self.takes_requests():
@@ -161,6 +175,12 @@
             return route, await self._run_and_render(query)
         return route, await self._answer_non_repeatable(request, query)
 
+    def _find_route(self, request: CallerRequest) -> Route | None:
+        tables = self._tables()
+        if tables is None:
+            return None
+        return tables.route_by_match.get((request.method, request.path))
+
     def _redirect(self, request: CallerRequest) -> CallerAnswer:
         own = self._members.own
         other_addresses = [a for a in self._addresses.usable(own.zone) if a.vm != own.vm]
--- a/bergamotgate/node/node.py
+++ b/bergamotgate/node/node.py
@@ -152,7 +152,11 @@
         deadline = self._services.clock.now() + wait_s
         while self._is_busy() and self._services.clock.now() < deadline:
             await self._services.clock.sleep(DRAIN_CHECK_INTERVAL_S)
-        return not self._is_busy()
+        finished = not self._is_busy()
+        if not finished:
+            self.handler.end_running()
+            await self._services.clock.sleep(DRAIN_CHECK_INTERVAL_S)  # the answers are written
+        return finished
 
     async def close(self) -> None:
         """Stop all components without waiting for running requests."""
--- a/bergamotgate/outcomes.py
+++ b/bergamotgate/outcomes.py
@@ -52,6 +52,7 @@
     SERVER_ERROR = "server_error"
     COVERAGE_BELOW = "coverage_below"
     ANSWER_TOO_LARGE = "answer_too_large"
+    VM_LEFT = "vm_left"
     INTERNAL = "internal"
 
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -9,6 +9,7 @@
 import tempfile
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPRequest
 
 from bergamotgate.admission import Job, OwnedServer, QueuePriority
 from bergamotgate.backend import BackendRequest, CurlConnector
@@ -279,6 +280,28 @@
     await node.close()
 
 
+@real_time
+async def test_request_that_outlasts_the_drain_is_answered_as_unknown():
+    node, front, peer, http = await serve_node("vm-1")
+
+    async def run_for_ever(query):
+        await asyncio.Event().wait()
+
+    node.gatherer.run = run_for_ever
+    request = HTTPRequest(f"http://{http}/search", method="POST", body=b"x")
+    response = asyncio.ensure_future(CurlAsyncHTTPClient().fetch(request, raise_error=False))
+    while not node.handler.in_progress:
+        await asyncio.sleep(0.01)
+    check.assertFalse(await node.drain(0.05))
+    await front.close()
+    answer = await response
+    fields = json.loads(answer.body)
+    check.assertEqual(
+        (504, "unknown", "vm_left"), (answer.code, fields["outcome"], fields["reason"])
+    )
+    await node.close()
+
+
 @real_time
 async def test_port_probe_tells_refused_from_listening():
     network = SocketNetwork()
