--- a/bergamotgate/standin/replica.py
+++ b/bergamotgate/standin/replica.py
@@ -77,12 +77,14 @@
         target: Request target.
         headers: Header values by name in lower case.
         body: Request body.
+        received_at: Time of the event loop's clock at which it was complete.
     """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    received_at: float
 
 
 @dataclass
@@ -266,4 +268,5 @@
     pairs = (line.partition(":") for line in lines[1:] if line)
     headers = {name.lower(): value.strip() for name, _, value in pairs}
     body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return ReceivedRequest(request_line[0], request_line[1], headers, body)
+    received_at = asyncio.get_running_loop().time()
+    return ReceivedRequest(request_line[0], request_line[1], headers, body, received_at)
--- a/bergamotgate/standin/soak.py
+++ b/bergamotgate/standin/soak.py
@@ -18,23 +18,27 @@
 
 from bergamotgate.standin.proxy import FaultyProxy, LinkFault
 from bergamotgate.standin.replica import Fault, StandInReplica
-from bergamotgate.standin.soakcaller import SoakCaller, check_calls
+from bergamotgate.standin.soakcaller import SoakCaller, check_calls, check_rate
 from bergamotgate.standin.store import StandInStore, StoreFault
 
 __all__ = ["Soak", "main"]
 
 ZONES = ("a", "b", "c")
-VMS = 3
+DEFAULT_VMS = 3
 SHARDS = 4
 REPLICAS = 2
 BOOKING_SERVERS = 3
-CALLERS = 6
+CALLERS_PER_VM = 2
+SEEDS = 3
 STARTUP_S = 3.0
 # Stated recovery target: service is restored this long after the machines are back.
 RECOVERY_TARGET_S = 12.0
 MEASURE_S = 3.0
 FIRST_PORT = 26000
+PORT_RANGE = 6700  # below the ports that the kernel assigns to outgoing connections
 PORTS_PER_VM = 4
+# Requests per second that servers may state, for a pool of shards and for one of bookings.
+STATED_RATES = ("0.5", "2", "8", "30")
 GRACE_S = 6.0
 RESTART_DELAY_S = 0.3
 SETTINGS_TEMPLATE = """
@@ -69,11 +73,11 @@
         front: ``ip:port`` for clients.
     """
 
-    def __init__(self, number: int, folder: Path, store: str, base: int):
+    def __init__(self, number: int, folder: Path, store: str, base: int, vms: int):
         self.number = number
         self.ports = [base + PORTS_PER_VM * number + n for n in range(PORTS_PER_VM)]
         self.front = f"127.0.0.1:{self.ports[0]}"
-        self._base = base
+        self._seeds = [f"127.0.0.1:{base + PORTS_PER_VM * n + 2}" for n in range(min(vms, SEEDS))]
         self._store = store
         self._settings_path = folder / f"vm-{number}.toml"
         self._log_path = folder / f"vm-{number}.log"
@@ -86,11 +90,10 @@
         Args:
             first: Whether the whole fleet starts for the first time (``bootstrap`` setting).
         """
-        seeds = [f"127.0.0.1:{self._base + PORTS_PER_VM * n + 2}" for n in range(VMS)]
         text = SETTINGS_TEMPLATE.format(
             number=self.number,
             zone=ZONES[self.number % len(ZONES)],
-            seeds=json.dumps(seeds),
+            seeds=json.dumps(self._seeds),
             first=str(first).lower(),
             front=self.ports[0],
             ready=self.ports[1],
@@ -109,6 +112,11 @@
                 env=os.environ | {"BERGAMOTGATE_SETTINGS": str(self._settings_path)},
             )
 
+    @property
+    def exit_status(self) -> int | None:
+        """Exit status of the process; None while it runs."""
+        return self._process.returncode
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal if the process is still running."""
         if self._process is not None and self._process.returncode is None:
@@ -132,14 +140,16 @@
         counts: Number of attempts by outcome.
     """
 
-    def __init__(self, seed: int, faults_s: float, folder: Path):
+    def __init__(self, seed: int, faults_s: float, folder: Path, vms: int = DEFAULT_VMS):
         self._rng = random.Random(seed)
+        self._vms = vms
         self._faults_s = faults_s
         self._store = StandInStore()
         self._replicas: list[StandInReplica] = []
         self._proxies: list[FaultyProxy] = []
         self._folder = folder
-        self._base = FIRST_PORT + (seed % 500) * PORTS_PER_VM * VMS
+        ports = PORTS_PER_VM * vms
+        self._base = FIRST_PORT + seed % (PORT_RANGE // ports) * ports
         self._version = 0
         self.violations: list[str] = []
         self.counts: Counter[str] = Counter()
@@ -148,14 +158,21 @@
         """Run the seed and check the results."""
         await self._start_platform()
         gateways = [
-            GatewayProcess(n, self._folder, self._store_proxy.address, self._base)
-            for n in range(VMS)
+            GatewayProcess(n, self._folder, self._store_proxy.address, self._base, self._vms)
+            for n in range(self._vms)
         ]
         for gateway in gateways:
             await gateway.start(first=True)
         await asyncio.sleep(STARTUP_S)
+        self.violations += [
+            f"vm-{gateway.number} exited with status {gateway.exit_status} at its start"
+            for gateway in gateways
+            if gateway.exit_status is not None
+        ]
         fronts = [gateway.front for gateway in gateways]
-        callers = [SoakCaller(n, fronts, random.Random(n)) for n in range(CALLERS)]
+        callers = [
+            SoakCaller(n, fronts, random.Random(n)) for n in range(CALLERS_PER_VM * self._vms)
+        ]
         caller_tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
         try:
             await self._inject_faults(gateways)
@@ -237,6 +254,7 @@
             self._fail_store,
             self._fail_link,
             self._fail_server,
+            self._state_rate,
         )
         await self._rng.choice((*kinds, self._change_config))(self._rng.choice(gateways))
 
@@ -274,11 +292,21 @@
         faults = [fault for fault in Fault if fault is not Fault.NO_REPLY]
         replica.faults = [self._rng.choice(faults) for _ in range(self._rng.randint(1, 10))]
 
+    async def _state_rate(self, gateway: GatewayProcess) -> None:
+        replica = self._rng.choice(self._replicas)
+        replica.stated_rate = self._rng.choice(STATED_RATES)
+        await asyncio.sleep(self._rng.uniform(0.5, 5.0))
+        replica.stated_rate = None
+
     async def _change_config(self, gateway: GatewayProcess) -> None:
         self._publish_config()
         gateway.send(signal.SIGHUP)
 
     async def _check_recovery(self, callers: list[SoakCaller]) -> None:
+        limited = [self._replicas[0], self._replicas[-1]]
+        for replica in limited:
+            replica.stated_rate = self._rng.choice(STATED_RATES)
+        stated_at = asyncio.get_running_loop().time()
         await asyncio.sleep(RECOVERY_TARGET_S)
         for replica in self._replicas:
             replica.faults = []
@@ -292,6 +320,8 @@
             self.violations.append(
                 f"{served} of {len(recent_calls)} requests were served after recovery"
             )
+        for replica in limited:
+            self.violations += check_rate(replica, float(replica.stated_rate), stated_at)
 
     async def _close_platform(self) -> None:
         for proxy in self._proxies:
@@ -325,16 +355,17 @@
 @click.command()
 @click.option("--seeds", default=1, help="Number of seeds.")
 @click.option("--first", default=1, help="First seed.")
+@click.option("--vms", default=DEFAULT_VMS, help="Number of gateway processes.")
 @click.option("--seconds", default=12.0, help="Duration of the faults for each seed, in seconds.")
 @click.option(
     "--logs", type=click.Path(path_type=Path), default=None, help="Directory for the logs."
 )
-def main(seeds: int, first: int, seconds: float, logs: Path | None) -> None:
+def main(seeds: int, first: int, vms: int, seconds: float, logs: Path | None) -> None:
     """Inject random faults into gateway processes; exit with 1 if an invariant is violated."""
     failed = []
     for seed in range(first, first + seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=logs))
-        soak = Soak(seed, seconds, folder)
+        soak = Soak(seed, seconds, folder, vms)
         asyncio.run(soak.run())
         counts = ", ".join(f"{count} {name}" for name, count in sorted(soak.counts.items()))
         click.echo(f"seed {seed}: {'BROKEN' if soak.violations else 'kept'}; {counts}")
--- a/bergamotgate/standin/soakcaller.py
+++ b/bergamotgate/standin/soakcaller.py
@@ -7,13 +7,19 @@
 
 from bergamotgate.standin.replica import StandInReplica
 
-__all__ = ["Call", "SoakCaller", "check_calls"]
+__all__ = ["Call", "SoakCaller", "check_calls", "check_rate"]
 
 DEADLINE_MS = 1500
 TIMEOUT_S = 3.0
 PAUSE_S = 0.02
 BOOKING_SHARE = 0.3
 NOT_RUN_STATUSES = (429, 503)
+# What a server that states a rate may get in any window, as a factor and in requests, once it has
+# stated the rate for so long.
+RATE_WINDOW_S = 4.0
+RATE_SETTLE_S = 4.0
+RATE_FACTOR = 1.5
+RATE_EXTRA = 5
 
 
 @dataclass(frozen=True)
@@ -129,6 +135,16 @@
     return violations
 
 
+def check_rate(replica: StandInReplica, rate_per_s: float, stated_at: float) -> list[str]:
+    """Return a violation if a server got more requests than the rate that it states allows."""
+    settled_at = stated_at + RATE_SETTLE_S
+    times = [r.received_at for r in replica.received_requests if r.received_at >= settled_at]
+    most = max((sum(0 <= at - start < RATE_WINDOW_S for at in times) for start in times), default=0)
+    if most <= RATE_FACTOR * rate_per_s * RATE_WINDOW_S + RATE_EXTRA:
+        return []
+    return [f"{replica.server} got {most} requests in {RATE_WINDOW_S} s at {rate_per_s} per second"]
+
+
 def _check_answer(
     call: Call, replica_by_server: dict[str, StandInReplica], shards: int
 ) -> list[str]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,9 +4,9 @@
 import tempfile
 from pathlib import Path
 
-from bergamotgate.standin.replica import StandInReplica
+from bergamotgate.standin.replica import ReceivedRequest, StandInReplica
 from bergamotgate.standin.soak import Soak
-from bergamotgate.standin.soakcaller import Call, check_calls
+from bergamotgate.standin.soakcaller import Call, check_calls, check_rate
 from tests.support import check, make_load_tests
 
 SEED = 7
@@ -57,6 +57,15 @@
     check.assertTrue(check_calls([], replicas, 4))
 
 
+def test_more_requests_than_a_stated_rate_allows_are_detected():
+    replica, *_ = make_replicas()
+    times = [10.0 + 0.25 * n for n in range(60)]
+    replica.received_requests = [ReceivedRequest("GET", "/", {}, b"", at) for at in times]
+    check.assertEqual([], check_rate(replica, 4.0, 0.0))
+    check.assertTrue(check_rate(replica, 1.0, 0.0))
+    check.assertEqual([], check_rate(replica, 1.0, 22.0))
+
+
 def test_short_soak_violates_no_invariant():
     with tempfile.TemporaryDirectory() as folder:
         soak = Soak(SEED, FAULT_DURATION_S, Path(folder))
