Read the store without a thread for a name lookup

Cause: the HTTP client looks up even an IP address in a thread, within the 0.5 s for connecting, and a busy machine may start that thread later. A gateway would then take the store for unavailable.

An IP address is now taken as it is. The new test, in which no thread is free, failed before. Also a test for published state that ends within its head: it is not used (held before).

--- a/bergamotgate/platform/store.py
+++ b/bergamotgate/platform/store.py
@@ -3,10 +3,12 @@
 import base64
 import binascii
 import json
+import socket
 from typing import Any
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPResponse
 from tornado.httputil import url_concat
+from tornado.netutil import DefaultLoopResolver, is_valid_ip
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from bergamotgate.errors import PlatformUnavailable
@@ -26,6 +28,18 @@
 GONE = 410
 
 
+class _AddressResolver(DefaultLoopResolver):
+    """Takes an IP address as it is: a busy machine may run the thread that looks up names late."""
+
+    async def resolve(
+        self, host: str, port: int, family: socket.AddressFamily = socket.AF_UNSPEC
+    ) -> list[tuple[int, Any]]:
+        """Return the address family and the socket address of a host."""
+        if is_valid_ip(host) and ":" not in host:
+            return [(socket.AF_INET, (host, port))]
+        return await super().resolve(host, port, family)
+
+
 class PlatformStore:
     """Item source that uses the platform's key-value protocol."""
 
@@ -75,7 +89,7 @@
     async def _get(self, call: str, query: dict[str, str], timeout_s: float) -> dict[str, Any]:
         if self._client is None:
             self._client = SimpleAsyncHTTPClient(
-                force_instance=True, max_buffer_size=MAX_ANSWER_BYTES
+                force_instance=True, max_buffer_size=MAX_ANSWER_BYTES, resolver=_AddressResolver()
             )
         url = url_concat(f"{self._base}/{call}", query)
         try:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,10 +1,14 @@
 """Tests for the platform adapter: store, registrations, configuration and settings file."""
 
+import asyncio
 import json
+import threading
 import tomllib
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 from bergamotgate.config.catalogue import Catalogue
+from bergamotgate.config.http import HttpConfigurationService, HttpVmListService
 from bergamotgate.discovery import DiscoveredServer
 from bergamotgate.errors import PlatformUnavailable, SettingsError
 from bergamotgate.gateway.localview import ServerGone, Unreadable, ZoneOut
@@ -155,4 +159,40 @@
         await PlatformStore(address).read_all(newest=False)
 
 
+@real_time
+async def test_store_is_read_while_no_thread_is_free():
+    store_server = StandInStore()
+    store_server.start()
+    released = threading.Event()
+    with ThreadPoolExecutor(1) as executor:
+        loop = asyncio.get_running_loop()
+        loop.set_default_executor(executor)
+        loop.run_in_executor(None, released.wait)
+        try:
+            await PlatformStore(store_server.address).read_all(newest=True)
+        finally:
+            released.set()
+    await store_server.close()
+
+
+@real_time
+async def test_published_state_that_ends_within_its_head_is_not_used():
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+    for size in range(1, len(head)):
+
+        async def answer(reader, writer, data=head[:size]):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(data)
+            writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        with check.assertRaises(PlatformUnavailable, msg=head[:size]):
+            await PlatformStore(address).changes(1, 0.1)
+        for service in (HttpConfigurationService, HttpVmListService):
+            with check.assertRaises(PlatformUnavailable, msg=head[:size]):
+                await service(f"http://{address}/").watch(1, 0.1)
+        server.close()
+
+
 load_tests = make_load_tests(globals())
