Say that no known rate means an infinite interval

Reading the change as a newcomer: a value of 0 stood for no rate and was tested for by its truth value.

--- a/bergamotgate/placement/chooser.py
+++ b/bergamotgate/placement/chooser.py
@@ -151,8 +151,7 @@
         return self._rates.delay_s(server)
 
     def _rate_retry_s(self, server: DiscoveredServer, delegable: bool) -> float:
-        delay_s = self._rate_delay_s(server, delegable)
-        return min(delay_s, self._rates.fleet_interval_s(server) or delay_s)
+        return min(self._rate_delay_s(server, delegable), self._rates.fleet_interval_s(server))
 
     def is_usable(self, server: DiscoveredServer) -> bool:
         """Return whether a server, in the lifetime that was chosen, still accepts requests."""
--- a/bergamotgate/placement/rates.py
+++ b/bergamotgate/placement/rates.py
@@ -97,9 +97,12 @@
         return max(0.0, self._next_slot_at(server, stated) - self._clock.now())
 
     def fleet_interval_s(self, server: DiscoveredServer) -> float:
-        """Return the seconds between the requests of all VMs to a server; 0 without a rate."""
+        """Return the seconds between the requests of all VMs that a server's rate allows.
+
+        Infinite if this VM knows of no rate.
+        """
         stated = self._stated_by_server.get(server.server)
-        return 0.0 if stated is None else 1 / max(MIN_RATE_PER_S, stated.rate_per_s)
+        return math.inf if stated is None else 1 / max(MIN_RATE_PER_S, stated.rate_per_s)
 
     def delegate_delay_s(self, server: DiscoveredServer) -> float:
         """Return the seconds until a delegate may have a slot again; it declined one before."""
