--- a/bergamotgate/standin/memory.py
+++ b/bergamotgate/standin/memory.py
@@ -22,7 +22,6 @@
     """Reachability, delay and loss between addresses.
 
     Attributes:
-        down_addresses: Addresses that cannot be reached from anywhere.
         generation: Number of calls of ``blackhole_connections``; connections opened before the
             last call carry no more data.
         is_lost: Called for each datagram; whether the network loses it.
@@ -34,7 +33,6 @@
         self._cross_zone_s = cross_zone_s
         self._side_by_address: dict[str, int] = {}
         self._isolated: set[str] = set()
-        self.down_addresses: set[str] = set()
         self.generation = 0
         self.is_lost: Callable[[], bool] = lambda: False
 
@@ -60,8 +58,6 @@
 
     def reaches(self, one: str, other: str) -> bool:
         """Whether two addresses can reach each other."""
-        if one in self.down_addresses or other in self.down_addresses:
-            return False
         return self._side_by_address.get(one) == self._side_by_address.get(other)
 
     def reaches_peer(self, one: str, other: str) -> bool:
--- a/bergamotgate/standin/runner.py
+++ b/bergamotgate/standin/runner.py
@@ -120,7 +120,6 @@
         self._drain_tasks: list[asyncio.Task] = []
         self._last_number = 0
         self._load_start = 0.0
-        self._first_requests = 0
         self._monitor = FleetMonitor(self._fleet)
 
     async def run(self) -> Report:
