--- a/bergamotgate/standin/soak.py
+++ b/bergamotgate/standin/soak.py
@@ -37,7 +37,7 @@
 FIRST_PORT = 26000
 PORT_RANGE = 6700  # below the ports that the kernel assigns to outgoing connections
 PORTS_PER_VM = 4
-# Requests per second that servers may state, for a pool of shards and for one of bookings.
+# Requests per second that a server may state.
 STATED_RATES = ("0.5", "2", "8", "30")
 GRACE_S = 6.0
 RESTART_DELAY_S = 0.3
