Review case 4: the limit for cold servers does not hold for single requests

Cause: when no server may get a request, a single request reserves a slot of a stated rate; a server that states none has one at once, whatever the limit for cold servers says. No code of the product is changed.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -17,6 +17,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from review.standins.replica import COLD_S
 from review.standins.store import Store
 
 __all__ = [
@@ -187,12 +188,14 @@
         slots: How many requests a replica works on at once.
         crash_path: Requests whose path begins so crash each replica that begins to run them.
         keep_alive_s: How long a replica keeps an idle connection open.
+        cold_bears: How many requests within a second a cold replica bears.
     """
 
     work_ms: float = 20.0
     slots: int = 6
     crash_path: str = ""
     keep_alive_s: int = 10
+    cold_bears: int = 1_000_000
     store: Store = field(default_factory=Store)
     seen: list[Seen] = field(default_factory=list)
     gateways: list[Gateway] = field(default_factory=list)
@@ -217,6 +220,7 @@
             *("python3", "-m", "review.standins.replica", "--id", server),
             *("--slots", str(self.slots), "--work-ms", str(self.work_ms)),
             *("--crash-path", self.crash_path),
+            *("--cold-bears", str(self.cold_bears)),
             *("--keep-alive-s", str(self.keep_alive_s)),
             *("--max-connections", str(MAX_CONNECTIONS)),
             cwd=ROOT,
@@ -276,6 +280,11 @@
         await asyncio.sleep(3 * BEAT_S - RESTART_S)
         self.store.put(f"servers/{replica.server}", None)
 
+    def turn_cold(self, replica: Replica) -> float:
+        """Let a replica turn cold and say so; return the time of the acknowledgement."""
+        replica.process.send_signal(signal.SIGUSR1)
+        return self.register(replica, coldRemainingMs=int(COLD_S * 1000))
+
     async def leave(self, replica: Replica) -> None:
         """End a replica that was to leave, and take its entry away."""
         self.replicas.remove(replica)
--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -19,6 +19,7 @@
 from review.standins.http import Message, read_message, render
 
 QUEUE = 24
+COLD_S = 3.0  # `coldStartS` of the configuration
 
 
 class Replica:
@@ -29,15 +30,31 @@
         self._slots = asyncio.Semaphore(options.slots)
         self._waiting = 0
         self._connections = 0
+        self._cold_until = float("-inf")
+        self._arrived_cold: list[float] = []
         rng = random.Random(options.id)
         self._body = b"".join(rng.randbytes(16) for _ in range(options.records))
 
     async def run(self) -> None:
         """Listen until the process is ended."""
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, self._turn_cold)
         _tell("listening", port=server.sockets[0].getsockname()[1])
         await server.serve_forever()
 
+    def _turn_cold(self) -> None:
+        self._cold_until = time.monotonic() + COLD_S
+
+    def _crash_if_overrun(self) -> None:
+        """Crash if a cold replica has got more requests within a second than it bears."""
+        now = time.monotonic()
+        if now >= self._cold_until:
+            self._arrived_cold.clear()
+            return
+        self._arrived_cold = [at for at in self._arrived_cold if at > now - 1] + [now]
+        if len(self._arrived_cold) > self._options.cold_bears:
+            os.kill(os.getpid(), signal.SIGKILL)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self._connections >= self._options.max_connections:
             _tell("turned_away", attempt="", path="")
@@ -78,6 +95,7 @@
             echo |= {"X-Instance-Id": self._options.id, "X-Not-Executed": "1"}
             writer.write(render("HTTP/1.1 421 Misdirected Request", echo))
             return True
+        self._crash_if_overrun()
         if self._waiting >= QUEUE:
             echo |= {"X-Not-Executed": "1"}
             writer.write(render("HTTP/1.1 503 Service Unavailable", echo))
@@ -129,6 +147,7 @@
     parser.add_argument("--work-ms", type=float, default=20.0)
     parser.add_argument("--records", type=int, default=8)
     parser.add_argument("--crash-path", default="")
+    parser.add_argument("--cold-bears", type=int, default=1_000_000)
     parser.add_argument("--keep-alive-s", type=int, default=10)
     parser.add_argument("--max-connections", type=int, default=52)
     asyncio.run(Replica(parser.parse_args()).run())
