Review case 3: servers close idle connections after 1 s, so that the fault of case 1 stays out

Cause: with an idle timeout of 10 s orders are also lost for the reason that case 1 shows. Change: the stand-in of the server closes idle connections after 1 s in this case.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -27,7 +27,7 @@
 
 async def case(record: Record) -> bool:
     """Return whether the rule DRAIN held."""
-    deployment = Deployment(work_ms=300.0)
+    deployment = Deployment(work_ms=300.0, keep_alive_s=1)
     try:
         return await _case(record, deployment)
     finally:
