--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import signal
 import sys
 import time
 from collections.abc import Awaitable, Callable
@@ -49,10 +50,11 @@
 
 
 async def _status(case: Case, record: Record) -> int:
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     try:
         async with asyncio.timeout(LONGEST_S):
             held = await case(record)
-    except (CouldNotRun, TimeoutError, OSError) as error:
+    except (CouldNotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
         record.conclude(f"could not run: {error!r}")
         return NOT_RUN
     record.conclude("the rule held" if held else "the rule was broken")
