--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -8,6 +8,7 @@
 import itertools
 import json
 import os
+import random
 import signal
 import socket
 import tempfile
@@ -36,6 +37,8 @@
 ZONES = ("tln-a", "tln-b", "tln-c")
 BEAT_S = 1.2
 RESTART_S = 3.0
+# Below the ports that the kernel assigns to outgoing connections.
+PORTS = range(20_000, 32_000)
 READY_WAIT_S = 15.0
 
 SETTINGS = """
@@ -295,7 +298,11 @@
     async def start_gateways(self, count: int = 3) -> None:
         """Start all gateways for the first time and wait until each is ready."""
         names = ("front", "ready", "control", "directory", "metrics")
-        all_ports = [{name: free_port() for name in names} for _ in range(count)]
+        ports_in_use: set[int] = set()
+        while len(ports_in_use) < count * len(names):
+            ports_in_use.add(free_port())
+        free = iter(ports_in_use)
+        all_ports = [{name: next(free) for name in names} for _ in range(count)]
         seeds = [f"127.0.0.1:{ports['control']}" for ports in all_ports[:3]]
         for number, ports in enumerate(all_ports):
             zone = ZONES[number % len(ZONES)]
@@ -405,14 +412,14 @@
 def free_port() -> int:
     """Return a loopback port that is free now for TCP and UDP."""
     while True:
+        port = random.choice(PORTS)
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind(("127.0.0.1", port))
                 udp.bind(("127.0.0.1", port))
             except OSError:
                 continue
-            return port
+        return port
 
 
 def _environment() -> dict[str, str]:
