Keep following the store past an entry that no parser takes

Cause: json.loads raises RecursionError for such text, which no reader of the platform's bytes expected. It left the item table after the revision was noted and before the later changes of the batch were applied, and ended the task that polls the store; the next VM in rank did the same.

One function now parses JSON from outside and raises ValueError only, and each changed item is applied by itself.

--- a/bergamotgate/caller/caller.py
+++ b/bergamotgate/caller/caller.py
@@ -1,6 +1,5 @@
 """Client that caches VM addresses, follows redirects and retries a request only where allowed."""
 
-import json
 import random
 import uuid
 from dataclasses import dataclass, replace
@@ -16,6 +15,7 @@
     NoReply,
 )
 from bergamotgate.clock import Clock, LoopClock
+from bergamotgate.jsontext import read_json
 
 __all__ = ["Caller", "CallerResult"]
 
@@ -107,7 +107,7 @@
             tried.append(address)
             try:
                 reply, _ = await self._fetch(address, self._addresses_request())
-                answer = json.loads(reply.body)
+                answer = read_json(reply.body)
                 if reply.status == HTTP_OK and answer["addresses"]:
                     return answer
             except (NoReply, ValueError, KeyError):
@@ -243,7 +243,7 @@
 
 def _parse_reply(reply: CallerReply, vm: str) -> CallerResult:
     try:
-        fields = json.loads(reply.body)
+        fields = read_json(reply.body)
         if reply.status != HTTP_OK:
             return CallerResult(False, fields["outcome"], fields["reason"], vm=vm)
         coverage = fields["coverage"]
--- a/bergamotgate/config/delta.py
+++ b/bergamotgate/config/delta.py
@@ -5,6 +5,8 @@
 from hashlib import blake2b
 from typing import Any
 
+from bergamotgate.jsontext import read_json
+
 __all__ = ["Change", "apply_changes", "canonical", "changes_between", "digest_of"]
 
 DIGEST_BYTES = 12
@@ -39,8 +41,8 @@
 
 def changes_between(old: str, new: str) -> tuple[Change, ...]:
     """Return the changes that turn one canonical text into another."""
-    old_entries = _flatten(json.loads(old))
-    new_entries = _flatten(json.loads(new))
+    old_entries = _flatten(read_json(old))
+    new_entries = _flatten(read_json(new))
     removed = [Change(path, None) for path in old_entries.keys() - new_entries.keys()]
     added_or_changed = [
         Change(path, json.dumps(value, sort_keys=True, separators=(",", ":")))
@@ -52,12 +54,12 @@
 
 def apply_changes(old: str, changes: tuple[Change, ...]) -> str:
     """Return the canonical text after applying changes to an older one."""
-    entries = _flatten(json.loads(old))
+    entries = _flatten(read_json(old))
     for change in changes:
         if change.value is None:
             entries.pop(change.path, None)
         else:
-            entries[change.path] = json.loads(change.value)
+            entries[change.path] = read_json(change.value)
     return json.dumps(_unflatten(entries), sort_keys=True, separators=(",", ":"))
 
 
--- a/bergamotgate/config/http.py
+++ b/bergamotgate/config/http.py
@@ -8,6 +8,7 @@
 
 from bergamotgate.config.service import PublishedTables, PublishedVmList
 from bergamotgate.errors import PlatformUnavailable
+from bergamotgate.jsontext import read_json
 
 __all__ = ["HttpConfigurationService", "HttpVmListService"]
 
@@ -36,7 +37,7 @@
                 raise PlatformUnavailable(
                     self._name, f"response of {len(response.body)} bytes is too long"
                 )
-            return json.loads(response.body)
+            return read_json(response.body)
         except (HTTPError, OSError, ValueError) as error:
             raise PlatformUnavailable(self._name, error) from error
 
@@ -86,5 +87,5 @@
     def _parse_vm_list(self, body: Any) -> PublishedVmList:
         try:
             return PublishedVmList(int(body["revision"]), json.dumps({"vms": body["vms"]}))
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, RecursionError) as error:
             raise PlatformUnavailable("VM list", error) from error
--- a/bergamotgate/gateway/localview.py
+++ b/bergamotgate/gateway/localview.py
@@ -86,7 +86,12 @@
 
     def _apply_changes(self, changed: list[PublishedItem]) -> None:
         for item in sorted(changed, key=lambda item: item.revision):
-            self._apply(self._decoder.decode(item))
+            try:
+                self._apply(self._decoder.decode(item))
+            except Exception:
+                # The table takes each revision once: the other changes would be lost for good.
+                logger.exception("discovery: Could not apply item {}.", item.key)
+                self._metrics.unreadable_items.labels("not_applied").inc()
 
     def _apply(self, decoded: Decoded) -> None:
         match decoded:
--- a/bergamotgate/platform/itemdecoder.py
+++ b/bergamotgate/platform/itemdecoder.py
@@ -1,6 +1,5 @@
 """Decodes the items that operators and backend servers publish in the platform's store."""
 
-import json
 from typing import Any
 
 from bergamotgate.config.catalogue import (
@@ -15,6 +14,7 @@
 from bergamotgate.config.fields import is_address
 from bergamotgate.discovery.servers import DiscoveredServer, ServerStanding
 from bergamotgate.gateway.localview import Decoded, ServerGone, Unreadable, ZoneOut
+from bergamotgate.jsontext import read_json
 from bergamotgate.publication.items import PublishedItem
 
 __all__ = ["CATALOGUE_KEY", "PlatformItemDecoder", "SERVER_PREFIX", "ZONE_OUT_PREFIX"]
@@ -157,7 +157,7 @@
 
 
 def _object(value: bytes) -> dict[str, Any]:
-    entry = json.loads(value)
+    entry = read_json(value)
     if not isinstance(entry, dict):
         raise _FieldError("the value is not a JSON object")
     return entry
--- a/bergamotgate/platform/store.py
+++ b/bergamotgate/platform/store.py
@@ -2,7 +2,6 @@
 
 import base64
 import binascii
-import json
 import socket
 from typing import Any
 
@@ -12,6 +11,7 @@
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from bergamotgate.errors import PlatformUnavailable
+from bergamotgate.jsontext import read_json
 from bergamotgate.publication.items import PublishedItem
 from bergamotgate.publication.source import HistoryLost, ItemChanges
 
@@ -106,7 +106,7 @@
 
 def _object(response: HTTPResponse) -> dict[str, Any]:
     try:
-        value = json.loads(response.body)
+        value = read_json(response.body)
     except ValueError as error:
         raise PlatformUnavailable(SERVICE, error) from error
     if not isinstance(value, dict):
--- a/bergamotgate/porcelain.py
+++ b/bergamotgate/porcelain.py
@@ -1,7 +1,6 @@
 """Functions for every task of an operator; the command-line tool only prints their results."""
 
 import asyncio
-import json
 from collections.abc import Iterable
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
@@ -16,6 +15,7 @@
 from bergamotgate.config.tables import Pool, Route, Tables
 from bergamotgate.errors import Problem, TablesRejected
 from bergamotgate.gateway.node import GatewaySettings
+from bergamotgate.jsontext import read_json
 from bergamotgate.membership.members import Member, MemberState, MemberTable
 from bergamotgate.membership.vmlist import VmList, read_vm_list
 from bergamotgate.ownership.directory import OwnerDirectory
@@ -210,7 +210,7 @@
             request_timeout=STATUS_TIMEOUT_S,
             connect_timeout=STATUS_TIMEOUT_S,
         )
-        return json.loads(response.body)
+        return read_json(response.body)
     except (HTTPError, OSError, ValueError):
         return None
 
--- a/bergamotgate/timeline.py
+++ b/bergamotgate/timeline.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from bergamotgate.jsontext import read_json
+
 __all__ = ["LogLine", "build_timeline", "read_log"]
 
 # Changes of the local view up to this long before a request may explain how it was handled.
@@ -80,7 +82,7 @@
     if not brace:
         return None
     try:
-        record = json.loads(brace + rest)
+        record = read_json(brace + rest)
         at, vm, message = record.pop("at"), record.pop("vm"), record.pop("message")
     except (ValueError, KeyError):
         return None
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -21,6 +21,7 @@
 from tests.support import check, make_load_tests, real_time, serve_bytes
 
 ROOT = Path(__file__).resolve().parents[1]
+NESTED_TOO_DEEPLY = b"[" * 100_000
 SETTINGS = """
 nodeName = "frontend-a-1"
 zone = "a"
@@ -63,6 +64,8 @@
     invalid = [
         b"\xff\xfe not json",
         b"[1, 2]",
+        NESTED_TOO_DEEPLY,
+        b'{"service": ' + NESTED_TOO_DEEPLY,
         make_server("p", "somewhere"),
         make_server("p", "10.1.1.1:80", state="resting"),
         make_server("p", "10.1.1.1:80", slots="two"),
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -116,6 +116,53 @@
         await fleet.close()
 
 
+@virtual_time
+async def test_unreadable_registration_does_not_end_the_following_of_the_store():
+    """Guards against an entry that no parser takes: all VMs kept the old view for good."""
+    fleet = GatewayFleet(6)
+    fleet.source.publish("op/config", make_config(1))
+    await fleet.start()
+    fleet.source.publish("servers/i-import", b"[" * 4000)
+    fleet.source.publish("servers/i-1", make_server("shard-0", "10.1.0.1:80"))
+    await asyncio.sleep(IN_FORCE_S)
+    fleet.source.publish("op/config", make_config(7))
+    await asyncio.sleep(IN_FORCE_S)
+    for node in fleet.nodes:
+        check.assertEqual(7, node.local_view.catalogue.version, node.settings.vm)
+        check.assertEqual(1, node.local_view.registry.count(), node.settings.vm)
+    await fleet.close()
+
+
+class BrokenDecoder:
+    """Fails on one key with an exception that no decoder should raise."""
+
+    def __init__(self, decoder, key: str):
+        self._decoder = decoder
+        self._key = key
+
+    def decode(self, item):
+        if item.key == self._key:
+            raise MemoryError(item.key)
+        return self._decoder.decode(item)
+
+
+@virtual_time
+async def test_item_that_cannot_be_applied_costs_no_other_change():
+    """Guards against changes that are lost since one of the same batch raised an exception."""
+    fleet = GatewayFleet(3)
+    fleet.source.publish("op/config", make_config(1))
+    await fleet.start()
+    for node in fleet.nodes:
+        node.local_view._decoder = BrokenDecoder(node.local_view._decoder, "servers/i-0")
+    for number in range(5):
+        server = make_server("shard-0", f"10.1.0.{number}:80")
+        fleet.source.publish(f"servers/i-{number}", server)
+    await asyncio.sleep(IN_FORCE_S)
+    for node in fleet.nodes:
+        check.assertEqual(4, node.local_view.registry.count(), node.settings.vm)
+    await fleet.close()
+
+
 class RejectingSource:
     """Rejects the calls of one VM if `rejected`, and records the VM as a poller."""
 
