Take a read of the store as complete up to its oldest page

Cause: pages of a read that need not be current may each have another age, and the revision of the first page was taken for all. What changed between an older page and that revision was never read, by this VM or by the peers that copied its table.

The read now states the lowest revision of its pages, so that the changes read next cover each of them. The stand-in store can give each page its own age.

--- a/bergamotgate/platform/store.py
+++ b/bergamotgate/platform/store.py
@@ -55,7 +55,7 @@
         """
         items: list[PublishedItem] = []
         after = ""
-        as_of: int | None = None
+        revisions: list[int] = []
         for _ in range(MAX_PAGES):
             query = {"prefix": ""} if newest else {"prefix": "", "staleOk": "1"}
             if after:
@@ -63,10 +63,10 @@
             page = await self._get("kv-range", query, READ_TIMEOUT_S)
             found = _items(page, "items")
             items.extend(found)
-            # Pages are not a consistent snapshot: changes since the first one are read again.
-            as_of = _revision(page) if as_of is None else as_of
+            revisions.append(_revision(page))
             if not page.get("truncated") or not found:
-                return ItemChanges(as_of, tuple(items))
+                # Each page has an age of its own: the read is complete up to the oldest one.
+                return ItemChanges(min(revisions), tuple(items))
             after = found[-1].key
         raise PlatformUnavailable(SERVICE, f"more than {MAX_PAGES} pages")
 
--- a/bergamotgate/standin/store.py
+++ b/bergamotgate/standin/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+from collections.abc import Callable
 from enum import Enum, auto
 
 from tornado.httpserver import HTTPServer
@@ -41,12 +42,15 @@
     Attributes:
         source: Published items and their history.
         fault: Fault injected into every call.
+        page_lag: Returns the revisions by which a page of a read that need not be current lags,
+            given the key after which the page begins.
         address: ``ip:port`` once started.
     """
 
     def __init__(self) -> None:
         self.source = MemoryItemSource()
         self.fault = StoreFault.NONE
+        self.page_lag: Callable[[str], int] = lambda after: 0
         self.address = ""
 
     def start(self) -> None:
@@ -91,8 +95,11 @@
                 return 410, {}
             events = [_entry(item) for item in changes.items if item.key.startswith(prefix)]
             return 200, {"events": events, "asOf": changes.as_of}
-        full_read = await self.source.read_all(newest="staleOk" not in query)
         after = query.get("after", "")
+        newest = "staleOk" not in query
+        if not newest:
+            self.source.stale_by = self.page_lag(after)
+        full_read = await self.source.read_all(newest)
         items = sorted(full_read.items, key=lambda item: item.key)
         items = [item for item in items if item.key.startswith(prefix) and item.key > after]
         page = [_entry(item) for item in items[:PAGE_ITEMS]]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,20 +2,29 @@
 
 import asyncio
 import json
+import random
 import threading
 import tomllib
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from bergamotgate.clock import LoopClock
 from bergamotgate.config.catalogue import Catalogue
 from bergamotgate.config.http import HttpConfigurationService, HttpVmListService
-from bergamotgate.discovery import DiscoveredServer
+from bergamotgate.discovery import DiscoveredServer, ServerStanding
 from bergamotgate.errors import PlatformUnavailable, SettingsError
 from bergamotgate.gateway.localview import ServerGone, Unreadable, ZoneOut
+from bergamotgate.metrics import Metrics
 from bergamotgate.platform.itemdecoder import PlatformItemDecoder
 from bergamotgate.platform.sitesettings import read_site_settings
 from bergamotgate.platform.store import PlatformStore
-from bergamotgate.publication import HistoryLost, PublishedItem
+from bergamotgate.publication import (
+    UNREAD,
+    HistoryLost,
+    ItemTable,
+    PublicationFollower,
+    PublishedItem,
+)
 from bergamotgate.standin.store import StandInStore, StoreFault
 from tests.gateways import make_config, make_server
 from tests.support import check, make_load_tests, real_time, serve_bytes
@@ -137,6 +146,43 @@
     await store_server.close()
 
 
+@real_time
+async def test_first_read_misses_no_change_when_its_pages_differ_in_age():
+    """Guards against a draining server that stays in use, as an older page said it was ready."""
+    store_server = StandInStore()
+    store_server.start()
+    source = store_server.source
+    for number in range(120):
+        source.publish(f"servers/i-{number:03}", make_server("p", f"10.1.0.{number}:80"))
+    source.publish("servers/i-119", make_server("p", "10.1.0.119:80", state="draining"))
+    source.publish("servers/i-110", None)
+    store_server.page_lag = lambda after: 2 if after else 0
+    store = PlatformStore(store_server.address)
+    table = ItemTable(LoopClock())
+    follower = PublicationFollower(
+        table,
+        store,
+        rank=lambda: 0,
+        first_read_rank=0,
+        on_update=lambda since, update: None,
+        clock=LoopClock(),
+        rng=random.Random(1),
+        metrics=Metrics(),
+    )
+    follower.start()
+    async with asyncio.timeout(10):
+        while table.as_of == UNREAD:
+            await asyncio.sleep(0.01)
+    value_by_key = {item.key: item.value for item in table.present()}
+    check.assertEqual(source.revision, table.as_of)
+    check.assertEqual(119, len(value_by_key))
+    check.assertNotIn("servers/i-110", value_by_key)
+    drained = decode("servers/i-119", value_by_key["servers/i-119"])
+    check.assertIs(ServerStanding.DRAINING, drained.standing)
+    await follower.close()
+    await store_server.close()
+
+
 @real_time
 async def test_store_failures_raise_typed_errors():
     store_server = StandInStore()
