Start long-lived background tasks again when they fail

Cause: TaskGroup logged the exception of a task and dropped the task; no component owned its tasks' failures. Long-lived tasks now start again after a pause of 0.1 to 2 s, and each failure is counted. A published value or a datagram that one component cannot process is logged and counted there, and neither ends the follower nor keeps the message from the other components.

--- a/bergamotgate/admission/owner.py
+++ b/bergamotgate/admission/owner.py
@@ -44,7 +44,7 @@
         self._connector = connector
         self._clock = clock
         self._metrics = metrics
-        self._tasks = TaskGroup("owner:")
+        self._tasks = TaskGroup("owner:", metrics.task_failures.labels("owner").inc)
         self._tables: Tables | None = None
         self._server_by_key: dict[ServerKey, OwnedServer] = {}
         self._warm_incarnation: Callable[[str, str], str | None] = lambda pool, server: None
@@ -94,7 +94,7 @@
 
     def start(self) -> None:
         """Start to watch for pauses of this process."""
-        self._tasks.start(self._watch_for_pauses())
+        self._tasks.keep_running(self._watch_for_pauses, self._clock)
 
     def pump(self) -> None:
         """Start jobs from every queue that can make progress."""
--- a/bergamotgate/clock.py
+++ b/bergamotgate/clock.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from contextlib import AbstractAsyncContextManager
 from typing import Any, Protocol
 
@@ -10,6 +10,12 @@
 
 __all__ = ["Clock", "LoopClock", "MonotonicClock", "TaskGroup", "milliseconds", "wall_milliseconds"]
 
+# Pause before a long-lived task that failed starts again; doubled by each further failure.
+MIN_RESTART_PAUSE_S = 0.1
+MAX_RESTART_PAUSE_S = 2.0
+# A task that ran for so long before it failed starts again after the shortest pause.
+STABLE_RUN_S = 10.0
+
 
 class Clock(Protocol):
     """Monotonic time in seconds."""
@@ -52,11 +58,18 @@
     """Background tasks that are cancelled together; logs the exception of each failed one.
 
     Attributes:
-        failures: Number of tasks that failed.
+        failures: Number of failures of tasks.
     """
 
-    def __init__(self, prefix: str):
+    def __init__(self, prefix: str, on_failure: Callable[[], None] = lambda: None):
+        """Create an empty group.
+
+        Args:
+            prefix: Begins each log line of the group.
+            on_failure: Called for each failure, to count it.
+        """
         self._prefix = prefix
+        self._on_failure = on_failure
         self._tasks: set[asyncio.Task] = set()
         self.failures = 0
 
@@ -67,6 +80,27 @@
         task.add_done_callback(self._finished)
         return task
 
+    def keep_running(
+        self, run: Callable[[], Coroutine[Any, Any, None]], clock: Clock
+    ) -> asyncio.Task:
+        """Start a long-lived coroutine function, and start it again whenever it fails."""
+        return self.start(self._restart_after_failures(run, clock))
+
+    async def _restart_after_failures(
+        self, run: Callable[[], Coroutine[Any, Any, None]], clock: Clock
+    ) -> None:
+        pause_s = MIN_RESTART_PAUSE_S
+        while True:
+            started_at = clock.now()
+            try:
+                return await run()
+            except Exception as error:
+                self._note_failure(error)
+            if clock.now() - started_at >= STABLE_RUN_S:
+                pause_s = MIN_RESTART_PAUSE_S
+            await clock.sleep(pause_s)
+            pause_s = min(MAX_RESTART_PAUSE_S, 2 * pause_s)
+
     async def close(self) -> None:
         """Cancel the tasks that still run and wait until they have ended."""
         tasks = [task for task in self._tasks if task is not asyncio.current_task()]
@@ -76,10 +110,13 @@
 
     def _finished(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
-            return
+        if not task.cancelled() and task.exception() is not None:
+            self._note_failure(task.exception())
+
+    def _note_failure(self, error: BaseException) -> None:
         self.failures += 1
-        logger.opt(exception=task.exception()).error("{} Background task failed.", self._prefix)
+        self._on_failure()
+        logger.opt(exception=error).error("{} Background task failed.", self._prefix)
 
 
 def milliseconds(seconds: float) -> int:
--- a/bergamotgate/config/follower.py
+++ b/bergamotgate/config/follower.py
@@ -69,12 +69,12 @@
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
-        self._tasks = TaskGroup("platform:")
+        self._tasks = TaskGroup("platform:", metrics.task_failures.labels("platform").inc)
         self.available = False
 
     def start(self) -> None:
         """Start watching or polling in the background."""
-        self._tasks.start(self._run())
+        self._tasks.keep_running(self._run, self._clock)
 
     async def close(self) -> None:
         """Stop watching or polling."""
@@ -84,10 +84,20 @@
         """Read now; return whether the call succeeded."""
         requested_at = self._clock.now()
         succeeded, value = await self._call(self._service.read())
-        if succeeded:
+        if not succeeded or not self._apply(value):
+            return False
+        self._confirm(requested_at)
+        return True
+
+    def _apply(self, value: Published) -> bool:
+        """Pass a value on; return whether it could be processed."""
+        try:
             self._on_value(value)
-            self._confirm(requested_at)
-        return succeeded
+        except Exception:
+            logger.exception("platform: Could not process the published value of {}.", self._name)
+            self._metrics.service_calls.labels(self._name, "not_applied").inc()
+            return False
+        return True
 
     async def _run(self) -> None:
         backoff_s = INITIAL_BACKOFF_S
@@ -102,12 +112,14 @@
     async def _watch(self) -> bool:
         call = self._service.watch(self._known_revision(), WATCH_TIMEOUT_S)
         succeeded, value = await self._call(call)
-        if value is not None:
-            self._on_value(value)
-            if self._is_stale(value):
-                # A stale answer must not turn the watch into a busy loop.
-                await self._clock.sleep(ROLE_CHECK_INTERVAL_S)
-        return succeeded
+        if value is None:
+            return succeeded
+        if not self._apply(value):
+            return False
+        if self._is_stale(value):
+            # A stale answer must not turn the watch into a busy loop.
+            await self._clock.sleep(ROLE_CHECK_INTERVAL_S)
+        return True
 
     def _is_stale(self, value: Published) -> bool:
         """Whether the revision in force is not the received one: an older or a rejected one."""
--- a/bergamotgate/gateway/node.py
+++ b/bergamotgate/gateway/node.py
@@ -143,7 +143,7 @@
         self._make_relay(clock)
         self.metrics.view_age.set_function(self.items.age_s)
         self.metrics.servers.set_function(self.local_view.registry.count)
-        self._tasks = TaskGroup("gateway:")
+        self._tasks = TaskGroup("gateway:", self.metrics.task_failures.labels("gateway").inc)
         self._pauses = PauseWatch(clock, self._after_pause, services.suspended_s)
         self.members.on_change(self._note_member)
 
@@ -157,11 +157,9 @@
         await self.peers.open(self._services.network, self.settings.peer)
         self.prober.use_seeds(self.settings.seeds)
         self.prober.start()
-        self._tasks.start(self._join())
+        for run in (self._join, self._expire, self._resize_budgets, self._pauses.run):
+            self._tasks.keep_running(run, self._services.clock)
         self.follower.start()
-        self._tasks.start(self._expire())
-        self._tasks.start(self._resize_budgets())
-        self._tasks.start(self._pauses.run())
 
     def use_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings: seeds at once; addresses and names only after a restart."""
--- a/bergamotgate/membership/prober.py
+++ b/bergamotgate/membership/prober.py
@@ -73,7 +73,7 @@
         self._rng = rng
         self._confirmation = confirmation
         self._metrics = metrics
-        self._tasks = TaskGroup("membership:")
+        self._tasks = TaskGroup("membership:", metrics.task_failures.labels("membership").inc)
         self._sequence = 0
         self._probe_by_sequence: dict[int, _PendingProbe] = {}
         self._probe_order: list[str] = []
@@ -88,7 +88,7 @@
 
     def start(self) -> None:
         """Start probing."""
-        self._tasks.start(self._run())
+        self._tasks.keep_running(self._run, self._clock)
 
     async def close(self) -> None:
         """Stop probing."""
--- a/bergamotgate/ownership/lease.py
+++ b/bergamotgate/ownership/lease.py
@@ -104,7 +104,7 @@
 
     def start(self) -> None:
         """Start requesting leases."""
-        self._tasks.start(self._run())
+        self._tasks.keep_running(self._run, self._clock)
 
     async def close(self) -> None:
         """Stop requesting leases."""
--- a/bergamotgate/publication/follower.py
+++ b/bergamotgate/publication/follower.py
@@ -69,7 +69,7 @@
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
-        self._tasks = TaskGroup("publication:")
+        self._tasks = TaskGroup("publication:", metrics.task_failures.labels("publication").inc)
         self._takeover_until = float("-inf")
         self._backoff_s = INITIAL_BACKOFF_S
         self._retry_at = float("-inf")
@@ -81,7 +81,7 @@
     def start(self) -> None:
         """Start following the store."""
         self._started_at = self._clock.now()
-        self._tasks.start(self._run())
+        self._tasks.keep_running(self._run, self._clock)
 
     async def close(self) -> None:
         """Stop following the store."""
--- a/bergamotgate/wire/port.py
+++ b/bergamotgate/wire/port.py
@@ -93,4 +93,12 @@
         if message.sender == self.vm and message.boot == self.boot:
             return
         for handler in self._handlers:
+            self._handle(handler, address, message)
+
+    def _handle(self, handler: OnMessage, address: str, message: Datagram) -> None:
+        try:
             handler(address, message)
+        except Exception:
+            # The other components still need their parts of the message.
+            logger.exception("peers: Could not process a datagram from {}.", address)
+            self._metrics.bad_messages.labels("not_processed").inc()
