Follow the store on a VM that leaves

A VM that had announced its departure stopped to follow the store for its last seconds, so that it could still send requests to servers that had drained meanwhile; each planned stop logged a failed task.

Cause: the rank among the VMs that may poll was looked up in the list of reachable VMs, which a leaving VM is no part of. It now ranks last. The new test failed before (5 failures of the task in one stop).

--- a/bergamotgate/gateway/node.py
+++ b/bergamotgate/gateway/node.py
@@ -309,8 +309,13 @@
         return seeds.index(self.settings.peer) if self.settings.peer in seeds else len(seeds)
 
     def _poll_rank(self) -> int:
-        """This VM's rank among those that may poll the store; 0 is the one that polls."""
-        return rank("store", self._vm_names()).index(self.settings.vm)
+        """This VM's rank among those that may poll the store; 0 is the one that polls.
+
+        A VM that leaves still needs a current view, but leaves the polling to the others.
+        """
+        ranked = rank("store", self._vm_names())
+        own = self.settings.vm
+        return ranked.index(own) if own in ranked else len(ranked)
 
 
 def _own_member(settings: GatewaySettings, boot: int) -> Member:
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -163,6 +163,21 @@
     await fleet.close()
 
 
+@virtual_time
+async def test_vm_that_leaves_follows_the_store_until_it_ends():
+    """Guards against a view that stands still while a VM serves its last requests."""
+    fleet = GatewayFleet(1)
+    fleet.source.publish("op/config", make_config(1))
+    await fleet.start()
+    leaving = asyncio.ensure_future(fleet.nodes[0].leave())
+    await asyncio.sleep(0.1)
+    fleet.source.publish("op/config", make_config(2))
+    await leaving
+    check.assertEqual(2, fleet.nodes[0].local_view.catalogue.version)
+    check.assertEqual(0, fleet.nodes[0].follower._tasks.failures)
+    await fleet.close()
+
+
 class RejectingSource:
     """Rejects the calls of one VM if `rejected`, and records the VM as a poller."""
 
