Check the range of published values where they are decoded

Other operators saw one odd entry among those of the servers end the processes that read the list, or their following of it. Here a number of 400 digits did the latter (OverflowError); a port out of range did not.

Cause: fields were checked for their type only, and later arithmetic, headers and messages to peers raised errors far from the boundary. Numbers now have ranges, names must be printable, identifiers of servers printable ASCII, revisions 64 bits; what fails is unreadable, and the others hold. An item whose key cannot be encoded is left out with a log line.

--- a/bergamotgate/platform/itemdecoder.py
+++ b/bergamotgate/platform/itemdecoder.py
@@ -23,6 +23,10 @@
 ZONE_OUT_PREFIX = "op/evacuate/"
 SERVER_PREFIX = "servers/"
 
+# Largest whole number that every JSON reader holds exactly.
+MAX_INTEGER = 2**53 - 1
+MAX_SLOTS = 100_000
+
 STANDING_BY_STATE = {"ready": ServerStanding.READY, "draining": ServerStanding.DRAINING}
 REPEATABILITY_BY_ROUTE_TYPE = {
     "idempotent": Repeatability.IDEMPOTENT,
@@ -53,11 +57,22 @@
     if item.value is None:
         return ServerGone(server)
     try:
+        _check_identifier(server)
         return _read_server(server, _object(item.value))
     except ValueError as error:
         return Unreadable(item.key, str(error), server)
 
 
+def _check_identifier(server: str) -> None:
+    """Check the identifier of a server, which becomes a header of each request to it.
+
+    Raises:
+        _FieldError: It contains characters other than printable ASCII.
+    """
+    if not server or not server.isascii() or not server.isprintable():
+        raise _FieldError(f"the identifier {server!r} is not printable ASCII text")
+
+
 def _read_server(server: str, entry: dict[str, Any]) -> DiscoveredServer:
     state = _text(entry, "state")
     if state not in STANDING_BY_STATE:
@@ -66,8 +81,8 @@
     if not is_address(address):
         raise _FieldError(f"address {address!r} is not of the form ip:port")
     slots = _integer(entry, "slots")
-    if slots < 1:
-        raise _FieldError(f"slots must be at least 1, not {slots}")
+    if not 1 <= slots <= MAX_SLOTS:
+        raise _FieldError(f"slots must be 1 to {MAX_SLOTS}, not {slots}")
     return DiscoveredServer(
         server=server,
         pool=_text(entry, "service"),
@@ -131,8 +146,8 @@
     pools = entry.get("gather")
     if not pools:
         return None
-    if not all(isinstance(pool, str) for pool in pools):
-        raise _FieldError("gather must contain only names")
+    if not isinstance(pools, list) or not all(isinstance(pool, str) for pool in pools):
+        raise _FieldError("gather must be a list of names")
     return ShardSet(tuple(pools), _integer(entry, "topK"), _number(entry, "minShardShare", 0))
 
 
@@ -173,15 +188,25 @@
 
 
 def _text(entry: Any, name: str) -> str:
-    return _get(entry, name, None, str, "string")
+    text = _get(entry, name, None, str, "string")
+    # Unpaired surrogates, which JSON allows, cannot be encoded for peers, logs or metrics.
+    if not text.isprintable():
+        raise _FieldError(f"{name} contains characters that cannot be printed")
+    return text
 
 
 def _integer(entry: Any, name: str, default: int | None = None) -> int:
-    return _get(entry, name, default, int, "integer")
+    value = _get(entry, name, default, int, "integer")
+    if abs(value) > MAX_INTEGER:
+        raise _FieldError(f"{name} is out of range")
+    return value
 
 
 def _number(entry: Any, name: str, default: float | None = None) -> float:
-    return float(_get(entry, name, default, (int, float), "number"))
+    value = _get(entry, name, default, (int, float), "number")
+    if not abs(value) <= MAX_INTEGER:  # neither is NaN
+        raise _FieldError(f"{name} is out of range")
+    return float(value)
 
 
 def _list(entry: Any, name: str) -> list[Any]:
--- a/bergamotgate/platform/sitesettings.py
+++ b/bergamotgate/platform/sitesettings.py
@@ -35,7 +35,7 @@
     """
     try:
         table = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
         raise SettingsError(source, (Problem("file", "TOML", str(error)),)) from error
     problems = Problems()
     top = Fields(table, "", problems)
--- a/bergamotgate/platform/store.py
+++ b/bergamotgate/platform/store.py
@@ -5,6 +5,7 @@
 import socket
 from typing import Any
 
+from loguru import logger
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPResponse
 from tornado.httputil import url_concat
 from tornado.netutil import DefaultLoopResolver, is_valid_ip
@@ -26,6 +27,8 @@
 # Longest answer that is read; a page holds about 1 MB, changes since an old revision more.
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
 GONE = 410
+# Revisions are 64-bit numbers in messages to peers.
+MAX_REVISION = 2**63 - 1
 
 
 class _AddressResolver(DefaultLoopResolver):
@@ -64,9 +67,11 @@
             found = _items(page, "items")
             items.extend(found)
             revisions.append(_revision(page))
-            if not page.get("truncated") or not found:
+            if not page.get("truncated"):
                 # Each page has an age of its own: the read is complete up to the oldest one.
                 return ItemChanges(min(revisions), tuple(items))
+            if not found:
+                raise PlatformUnavailable(SERVICE, "a page before the last one has no usable item")
             after = found[-1].key
         raise PlatformUnavailable(SERVICE, f"more than {MAX_PAGES} pages")
 
@@ -115,10 +120,21 @@
 
 
 def _revision(response: dict[str, Any]) -> int:
-    revision = response.get("asOf")
-    if not isinstance(revision, int) or isinstance(revision, bool):
-        raise PlatformUnavailable(SERVICE, "the response has no revision")
-    return revision
+    try:
+        return _checked_revision(response.get("asOf"))
+    except ValueError as error:
+        raise PlatformUnavailable(SERVICE, error) from error
+
+
+def _checked_revision(value: object) -> int:
+    """Return a revision that peers can be told.
+
+    Raises:
+        ValueError: The value is not a whole number of 64 bits.
+    """
+    if type(value) is not int or not 0 <= value <= MAX_REVISION:
+        raise ValueError(f"{value!r:.40} is not a revision")
+    return value
 
 
 def _items(response: dict[str, Any], name: str) -> list[PublishedItem]:
@@ -126,13 +142,25 @@
     if not isinstance(entries, list):
         raise PlatformUnavailable(SERVICE, f"the response has no list {name}")
     try:
-        return [_item(entry) for entry in entries]
+        items = [_item(entry) for entry in entries]
     except (KeyError, TypeError, AttributeError, ValueError, binascii.Error) as error:
         raise PlatformUnavailable(SERVICE, f"an item could not be decoded: {error!r}") from error
+    return [item for item in items if _is_encodable(item.key)]
+
+
+def _is_encodable(key: str) -> bool:
+    """Whether a key can be sent to peers; JSON allows surrogates that UTF-8 does not."""
+    try:
+        key.encode()
+    except UnicodeEncodeError:
+        logger.warning("publication: Ignored an item with the invalid key {!a}.", key)
+        return False
+    return True
 
 
 def _item(entry: dict[str, Any]) -> PublishedItem:
+    revision = _checked_revision(entry["revision"])
     if entry.get("deleted"):
-        return PublishedItem(str(entry["key"]), int(entry["revision"]), None)
+        return PublishedItem(str(entry["key"]), revision, None)
     value = base64.b64decode(entry["value"], validate=True)
-    return PublishedItem(str(entry["key"]), int(entry["revision"]), value)
+    return PublishedItem(str(entry["key"]), revision, value)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -130,6 +130,40 @@
         check.assertTrue((ROOT / f"{module}.py").exists(), module)
 
 
+HUGE = int("9" * 400)
+
+
+def test_registration_with_values_out_of_range_is_unreadable():
+    """Guards against numbers and names that later arithmetic or a header cannot take."""
+    check.assertIsInstance(decode("servers/i-9", make_server("p", "10.1.1.1:80")), DiscoveredServer)
+    for fields in (
+        {"coldRemainingMs": HUGE},
+        {"coldRemainingMs": 10**30},
+        {"slots": HUGE},
+        {"slots": 10**9},
+        {"born": HUGE},
+        {"born": -(10**30)},
+        {"address": "10.1.1.1:65536"},
+        {"address": "10.1.1.1:0"},
+        {"address": "10.1.1.1:-80"},
+        {"address": f"10.1.1.1:{'9' * 5000}"},
+        {"service": "p\ud800"},
+        {"zone": "b\r\n"},
+    ):
+        entry = {"service": "p", "address": "10.1.1.1:80"} | fields
+        value = make_server(entry.pop("service"), entry.pop("address"), **entry)
+        check.assertIsInstance(decode("servers/i-9", value), Unreadable, fields)
+    for server in ("", "i-9\r\nX-Target-Instance: i-1", "i-\u00e9", "i-\ud800"):
+        decoded = decode(f"servers/{server}", make_server("p", "10.1.1.1:80"))
+        check.assertIsInstance(decoded, Unreadable, server)
+
+
+def test_configuration_with_values_out_of_range_is_unreadable():
+    for route in ({"timeoutMs": HUGE}, {"timeoutMs": float("nan")}, {"gather": 7}, {"topK": HUGE}):
+        check.assertIsInstance(decode("op/config", make_config(**route)), Unreadable, route)
+    check.assertIsInstance(decode("op/config", make_config(HUGE)), Unreadable)
+
+
 @real_time
 async def test_store_is_read_in_pages_and_watched():
     store_server = StandInStore()
@@ -183,6 +217,31 @@
     await store_server.close()
 
 
+@real_time
+async def test_item_whose_key_cannot_be_encoded_is_left_out():
+    """Guards against a key of another writer that cannot be sent to peers."""
+    store_server = StandInStore()
+    store_server.start()
+    source = store_server.source
+    for key in ("servers/i-1", "servers/\ud800", "servers/i-2"):
+        source.publish(key, make_server("p", "10.1.1.1:80"))
+    store = PlatformStore(store_server.address)
+    for answer in (await store.read_all(newest=True), await store.changes(1, 0.1)):
+        check.assertEqual(["servers/i-1", "servers/i-2"], [item.key for item in answer.items])
+        check.assertEqual(source.revision, answer.as_of)
+    await store_server.close()
+
+
+@real_time
+async def test_revision_out_of_range_is_a_failure_of_the_store():
+    for revision in (-1, 2**63, int("9" * 400)):
+        body = json.dumps({"events": [], "asOf": revision}).encode()
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+        async with serve_bytes(head + body) as address:
+            with check.assertRaises(PlatformUnavailable, msg=revision):
+                await PlatformStore(address).changes(1, 0.1)
+
+
 @real_time
 async def test_store_failures_raise_typed_errors():
     store_server = StandInStore()
