Soak: check that VMs follow the store past odd entries and stale pages

The soak had no check of the view on which a VM acts. Each configuration now adds a route and drops one; odd entries of another writer are among the faults, and pages of a read that need not be current differ in age. After the recovery, a configuration is published and a server drains: within 3 s each VM must serve the new route, refuse the dropped one and leave the server alone.

What is published has a module of its own.

--- a/bergamotgate/standin/soak.py
+++ b/bergamotgate/standin/soak.py
@@ -19,7 +19,9 @@
 from bergamotgate.standin.proxy import FaultyProxy, LinkFault
 from bergamotgate.standin.replica import Fault, StandInReplica
 from bergamotgate.standin.soakcaller import SoakCaller, check_calls, check_rate
-from bergamotgate.standin.store import StandInStore, StoreFault
+from bergamotgate.standin.soakplatform import SoakPlatform
+from bergamotgate.standin.soakviews import check_views
+from bergamotgate.standin.store import StoreFault
 
 __all__ = ["Soak", "main"]
 
@@ -144,13 +146,14 @@
         self._rng = random.Random(seed)
         self._vms = vms
         self._faults_s = faults_s
-        self._store = StandInStore()
+        self._platform = SoakPlatform(self._rng, SHARDS)
+        self._store = self._platform.store
         self._replicas: list[StandInReplica] = []
         self._proxies: list[FaultyProxy] = []
+        self._registrations: list[dict] = []
         self._folder = folder
         ports = PORTS_PER_VM * vms
         self._base = FIRST_PORT + seed % (PORT_RANGE // ports) * ports
-        self._version = 0
         self.violations: list[str] = []
         self.counts: Counter[str] = Counter()
 
@@ -177,6 +180,9 @@
         try:
             await self._inject_faults(gateways)
             await self._check_recovery(callers)
+            views = await check_views(
+                self._platform, fronts, self._replicas[-2], **self._registrations[-2]
+            )
         finally:
             for caller in callers:
                 caller.stop()
@@ -186,12 +192,13 @@
             await self._close_platform()
         calls = [call for caller in callers for call in caller.calls]
         self.counts.update(call.outcome for call in calls)
-        self.violations += check_calls(calls, self._replicas, SHARDS)
+        self.violations += views.violations
+        self.violations += check_calls(calls, self._replicas, SHARDS, views.attempts)
 
     async def _start_platform(self) -> None:
         self._store.start()
         self._store_proxy = await self._start_proxy(self._store.address)
-        self._publish_config()
+        self._platform.publish_config()
         pools = [f"shard-{n}" for n in range(SHARDS) for _ in range(REPLICAS)] + [
             "desk"
         ] * BOOKING_SERVERS
@@ -201,16 +208,14 @@
             await replica.start()
             self._replicas.append(replica)
             proxy = await self._start_proxy(replica.address)
-            entry = {
+            registration = {
                 "service": pool,
                 "address": proxy.address,
                 "zone": ZONES[number % len(ZONES)],
-                "slots": 4,
-                "state": "ready",
-                "coldRemainingMs": 0,
                 "born": number + 1,
             }
-            self._store.source.publish(f"servers/i-{number}", json.dumps(entry).encode())
+            self._platform.register(replica, **registration)
+            self._registrations.append(registration)
 
     async def _start_proxy(self, target: str) -> FaultyProxy:
         proxy = FaultyProxy(target)
@@ -218,21 +223,6 @@
         self._proxies.append(proxy)
         return proxy
 
-    def _publish_config(self) -> None:
-        self._version += self._rng.randint(1, 3)
-        common = {"hostname": "soak.example", "timeoutMs": 2000, "targetLatencyMs": 200}
-        pools = [f"shard-{n}" for n in range(SHARDS)]
-        search = {"name": "search", "prefix": "/s/", "routeType": "idempotent", "maxAttempts": 2}
-        search |= {"gather": pools, "topK": 6, "minShardShare": 0.5}
-        book = {"name": "book", "prefix": "/b/", "routeType": "non_idempotent", "service": "desk"}
-        services = [{"name": n, "healthPath": "/h", "maxConnections": 64} for n in [*pools, "desk"]]
-        config = {
-            "version": self._version,
-            "routes": [common | search, common | book],
-            "services": services,
-        }
-        self._store.source.publish("op/config", json.dumps(config).encode())
-
     async def _inject_faults(self, gateways: list[GatewayProcess]) -> None:
         loop = asyncio.get_running_loop()
         until = loop.time() + self._faults_s
@@ -255,6 +245,7 @@
             self._fail_link,
             self._fail_server,
             self._state_rate,
+            self._leave_unreadable_entry,
         )
         await self._rng.choice((*kinds, self._change_config))(self._rng.choice(gateways))
 
@@ -298,8 +289,11 @@
         await asyncio.sleep(self._rng.uniform(0.5, 5.0))
         replica.stated_rate = None
 
+    async def _leave_unreadable_entry(self, gateway: GatewayProcess) -> None:
+        self._platform.publish_unreadable_entry()
+
     async def _change_config(self, gateway: GatewayProcess) -> None:
-        self._publish_config()
+        self._platform.publish_config()
         gateway.send(signal.SIGHUP)
 
     async def _check_recovery(self, callers: list[SoakCaller]) -> None:
--- a/bergamotgate/standin/soakcaller.py
+++ b/bergamotgate/standin/soakcaller.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections import Counter
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from bergamotgate.standin.replica import StandInReplica
@@ -115,11 +116,23 @@
             self._connection = None
 
 
-def check_calls(calls: list[Call], replicas: list[StandInReplica], shards: int) -> list[str]:
-    """Return descriptions of all violations that the answers or the servers' records show."""
+def check_calls(
+    calls: list[Call],
+    replicas: list[StandInReplica],
+    shards: int,
+    other_attempts: Collection[str] = (),
+) -> list[str]:
+    """Return descriptions of all violations that the answers or the servers' records show.
+
+    Args:
+        calls: All attempts of the callers.
+        replicas: All servers.
+        shards: Number of shards of a search.
+        other_attempts: Identifiers of attempts that were sent beside the callers.
+    """
     replica_by_server = {replica.server: replica for replica in replicas}
     runs = Counter(attempt for replica in replicas for attempt in replica.run_attempts)
-    sent_attempts = {call.attempt for call in calls}
+    sent_attempts = {call.attempt for call in calls} | set(other_attempts)
     violations = [
         f"{attempt} ran although no caller sent it"
         for attempt in runs
