Do not fail the caller of a log line that cannot be written

When the reader of a VM's log ends, or its disk is full, each log line raised an error where it was written: in the task that follows the store, in the expiry of registrations and in every request.

Cause: the writer expected a full pipe only, and its sink passes errors on. A line that cannot be written is now dropped and counted like any other that does not fit. The new test failed before (BrokenPipeError).

--- a/bergamotgate/logs.py
+++ b/bergamotgate/logs.py
@@ -40,10 +40,10 @@
 
 
 class RateLimitedLineWriter:
-    """Writes log lines to a non-blocking descriptor; drops and counts excess lines.
+    """Writes log lines to a non-blocking descriptor; drops and counts what cannot be written.
 
-    A line is dropped when the rate limit is reached, or while an earlier line is not completely
-    written. Each later line reports how many were dropped before it.
+    A line is dropped when the rate limit is reached, or while an earlier line cannot be written
+    completely. Each later line reports how many were dropped before it.
 
     Attributes:
         dropped: Number of lines dropped so far.
@@ -97,7 +97,8 @@
     def _flush(self) -> bool:
         try:
             written = os.write(self._descriptor, self._unwritten)
-        except BlockingIOError:
+        except OSError:
+            # Logging must not fail the caller: the pipe is full or closed, or the disk is full.
             return False
         self._unwritten = self._unwritten[written:]
         return not self._unwritten
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -57,6 +57,17 @@
     os.close(writing)
 
 
+def test_line_that_cannot_be_written_does_not_fail_the_caller():
+    """Guards against a log collector that ends, or a full disk, and takes a task along."""
+    reading, closed_pipe = os.pipe()
+    os.close(reading)
+    full_disk = os.open("/dev/full", os.O_WRONLY)
+    for descriptor in (closed_pipe, full_disk):
+        writer = write_lines(3, descriptor)
+        check.assertEqual(2, writer.dropped)
+        os.close(descriptor)
+
+
 LOG = [
     '{"at": 10.0, "vm": "vm-1", "message": "config: New.", "version": 7}',
     '  3.2 vm-1 {"at": 11.0, "vm": "vm-1", "message": "relay: Sub-request hedged.", "id": "r1"}',
