--- a/bergamotgate/gateway/node.py
+++ b/bergamotgate/gateway/node.py
@@ -15,6 +15,7 @@
 from bergamotgate.gateway.pauses import PauseWatch, suspended_s
 from bergamotgate.gateway.peers import PeerStreams
 from bergamotgate.gateway.shares import SenderShares
+from bergamotgate.gateway.staleness import StalenessLog
 from bergamotgate.membership.confirmation import ViewConfirmation
 from bergamotgate.membership.members import Member, MemberState, MemberTable
 from bergamotgate.membership.prober import Prober
@@ -47,6 +48,7 @@
 EXPIRE_INTERVAL_S = 0.2
 # The VMs that serve clients change with the members and the servers, neither faster than this.
 RESIZE_INTERVAL_S = 1.0
+VIEW_AGE_INTERVAL_S = 1.0
 JOIN_INTERVAL_S = 0.2
 # Time after SIGTERM for which the process keeps serving while clients learn of other addresses.
 LEAVE_GRACE_S = 3.0
@@ -157,7 +159,13 @@
         await self.peers.open(self._services.network, self.settings.peer)
         self.prober.use_seeds(self.settings.seeds)
         self.prober.start()
-        for run in (self._join, self._expire, self._resize_budgets, self._pauses.run):
+        for run in (
+            self._join,
+            self._expire,
+            self._resize_budgets,
+            self._watch_view_age,
+            self._pauses.run,
+        ):
             self._tasks.keep_running(run, self._services.clock)
         self.follower.start()
 
@@ -278,6 +286,12 @@
             await self._services.clock.sleep(RESIZE_INTERVAL_S)
             self._budgets.resize()
 
+    async def _watch_view_age(self) -> None:
+        staleness = StalenessLog(self.items)
+        while True:
+            await self._services.clock.sleep(VIEW_AGE_INTERVAL_S)
+            staleness.check()
+
     def _note_member(self, member: Member) -> None:
         if member.vm != self.settings.vm:
             fields = {"member": member.vm, "incarnation": member.incarnation, "boot": member.boot}
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -4,6 +4,8 @@
 import random
 from operator import ge
 
+from loguru import logger
+
 from bergamotgate.clock import LoopClock
 from bergamotgate.errors import PlatformUnavailable
 from bergamotgate.publication import UNREAD, ItemTable, PublishedItem
@@ -178,6 +180,26 @@
     await fleet.close()
 
 
+@virtual_time
+async def test_each_vm_logs_that_its_view_is_stale_and_that_it_is_current_again():
+    lines: list[str] = []
+    logger.enable("bergamotgate")
+    sink_id = logger.add(lines.append, format="{message}", filter="bergamotgate.gateway.staleness")
+    fleet = GatewayFleet(3)
+    fleet.source.publish("op/config", make_config(1))
+    await fleet.start()
+    fleet.source.down = True
+    await asyncio.sleep(20)
+    fleet.source.down = False
+    await asyncio.sleep(MAX_IN_FORCE_S)
+    await fleet.close()
+    logger.remove(sink_id)
+    logger.disable("bergamotgate")
+    stale = "publication: The view of the store is stale.\n"
+    current = "publication: The view of the store is current again.\n"
+    check.assertEqual(3 * [stale] + 3 * [current], lines)
+
+
 class RejectingSource:
     """Rejects the calls of one VM if `rejected`, and records the VM as a poller."""
 
