Do not pass on a refusal that does not prove that a booking has not run

A caller could be told by 503 that its booking had not run although it had: a server's own 408, 421, 429 or 503 was passed on unchanged also without the sign that the server did not run the request.

Cause: only the server's signature was looked at. Such a reply to a request that may run once is now answered as unknown.

--- a/bergamotgate/relay/messages.py
+++ b/bergamotgate/relay/messages.py
@@ -29,6 +29,9 @@
     "WrongReplyReason",
 ]
 
+# Statuses by which a caller is told that its request has not run and will not run.
+REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
+
 
 @dataclass(frozen=True, slots=True)
 class ClientRequest:
@@ -89,6 +92,11 @@
         """Whether the status is 2xx and the server signed the reply."""
         return 200 <= self.status < 300 and self.digest is not None
 
+    @property
+    def promises_more_than_it_proves(self) -> bool:
+        """Whether a caller would take it for a refusal, though the request may have run."""
+        return self.status in REFUSAL_STATUSES and not self.not_run
+
     @property
     def tells_rate_limit(self) -> bool:
         """Whether the reply tells if the server limits its rate.
--- a/bergamotgate/relay/single.py
+++ b/bergamotgate/relay/single.py
@@ -231,8 +231,10 @@
             self._retry_if_idempotent()
 
     def _answer_of(self, reply: ServerReply) -> Answer:
-        """Return a signed reply unchanged; an unsigned one does not prove what ran."""
-        if reply.digest is not None:
+        """Return a signed reply unchanged, unless it is no proof of what ran."""
+        if reply.digest is not None and (
+            self._route.idempotent or not reply.promises_more_than_it_proves
+        ):
             return ForwardedAnswer(reply)
         return FailedAnswer(Unknown(UnknownReason.SERVER_ERROR))
 
--- a/bergamotgate/standin/replica.py
+++ b/bergamotgate/standin/replica.py
@@ -28,6 +28,7 @@
         SHED: Refuse with status 503 without running the request.
         MISDIRECTED: Refuse with status 421 without running the request.
         ERROR: Run the request and reply with status 500.
+        UNAVAILABLE_AFTER_RUN: Run the request and reply with status 503.
         CLOSE_WITHOUT_RUN: Close the connection without running the request.
         RESET_AFTER_RUN: Run the request, then reset the connection.
         HEAD_CUT: Close the connection in the middle of the reply's head.
@@ -50,6 +51,7 @@
     SHED = auto()
     MISDIRECTED = auto()
     ERROR = auto()
+    UNAVAILABLE_AFTER_RUN = auto()
     CLOSE_WITHOUT_RUN = auto()
     RESET_AFTER_RUN = auto()
     HEAD_CUT = auto()
@@ -68,6 +70,12 @@
     ENDLESS_BODY = auto()
 
 
+STATUS_BY_FAULT = {
+    Fault.ERROR: "500 Internal Server Error",
+    Fault.UNAVAILABLE_AFTER_RUN: "503 Service Unavailable",
+}
+
+
 @dataclass(frozen=True)
 class ReceivedRequest:
     """A request as the server received it.
@@ -193,7 +201,7 @@
         extra += self._stated_rate()
         if fault is Fault.ENCODED:
             extra += "Content-Encoding: gzip\r\n"
-        status = "500 Internal Server Error" if fault is Fault.ERROR else "200 OK"
+        status = STATUS_BY_FAULT.get(fault, "200 OK")
         response = _head(status, len(self.body), extra) + self.body
         unframed = f"HTTP/1.1 200 OK\r\n{extra}\r\n".encode() + self.body
         match fault:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -206,6 +206,18 @@
     await relay.close()
 
 
+@real_time
+async def test_booking_that_may_have_run_is_not_reported_as_refused():
+    """Guards against a server's 503 without the sign that it did not run the request."""
+    relay = RelayFixture()
+    replica = await relay.add_server("desk", fault=Fault.UNAVAILABLE_AFTER_RUN)
+    answer = await relay.send_request("/b/1", "POST", b"order")
+    check.assertIsInstance(answer, FailedAnswer)
+    check.assertEqual(Unknown(UnknownReason.SERVER_ERROR), answer.outcome)
+    check.assertEqual(1, replica.run_count)
+    await relay.close()
+
+
 @real_time
 async def test_wrong_reply_is_never_merged_and_the_shard_is_retried():
     for fault in (*WRONG_REPLY_FAULTS, Fault.ERROR, Fault.SHED, Fault.MISDIRECTED):
