Heed servers that say that they leave or want a pause

A reply's words are now read where it is decoded, hold for the lifetime that said them, and are part of the one question whether a server takes a request: first requests, retries, hedges, reserved slots and delegated parts ask it. A paused server's refusal leaves the tries for failures. When all are paused, requests are refused at once until the first is back.

--- a/bergamotgate/delegate/service.py
+++ b/bergamotgate/delegate/service.py
@@ -24,6 +24,8 @@
 
 # Larger than the gateways' cache, so that a query head that they expect here is never missing.
 QUERY_CACHE_SIZE = 2 * QUERY_ID_CACHE_SIZE
+# Longest time for which a gateway is told not to ask for a server; one that leaves has no end.
+MAX_DECLINE_S = 30.0
 
 DELEGATED_END = {
     ExchangeFailure.NOT_SENT: ttypes.DelegatedEnd.NOT_SENT,
@@ -100,11 +102,14 @@
     ) -> None:
         service = self._service
         server = service.registry.get(part.server)
+        if server is not None and (wait_s := service.registry.wait_s(server)) > 0:
+            self._decline_for(min(wait_s, MAX_DECLINE_S), part, "paused")
+            return
         if server is None or not service.registry.takes_work(server):
             self._decline(part, request, "the server accepts no requests")
             return
         if not service.rates.take(server):
-            self._decline_for_rate(part, server)
+            self._decline_for(service.rates.delay_s(server), part, "rate_limited")
             return
         service.metrics.delegated.labels("served").inc()
         sent_at = service.clock.now()
@@ -115,10 +120,10 @@
             lambda end: self._handle_end(request, delegated_request, part, server, sent_at, end),
         )
 
-    def _decline_for_rate(self, part: ttypes.DelegatedPart, server: DiscoveredServer) -> None:
-        """Reply that nothing was sent, as this VM's part of the server's rate is used up."""
-        self._service.metrics.delegated.labels("rate_limited").inc()
-        retry_ms = max(1, milliseconds(self._service.rates.delay_s(server)))
+    def _decline_for(self, wait_s: float, part: ttypes.DelegatedPart, event: str) -> None:
+        """Reply that nothing was sent, as the server takes no request of this VM for a while."""
+        self._service.metrics.delegated.labels(event).inc()
+        retry_ms = max(1, milliseconds(wait_s))
         self._reply(
             ttypes.DelegatedReply(part.number, ttypes.DelegatedEnd.NOT_SENT, retry_ms=retry_ms)
         )
@@ -162,6 +167,7 @@
         if isinstance(reply, WrongReplyReason):
             self._service.metrics.wrong_replies.labels(server.pool, reply.value).inc()
             return ttypes.DelegatedReply(part.number, ttypes.DelegatedEnd.WRONG_REPLY)
+        self._service.servers.note_statement(server, reply.statement)
         if reply.tells_rate_limit:
             self._service.rates.note_reply(server, reply.rate_limit, sent_at)
         records = b""
--- a/bergamotgate/discovery/__init__.py
+++ b/bergamotgate/discovery/__init__.py
@@ -2,5 +2,12 @@
 
 from bergamotgate.discovery.registry import ServerRegistry
 from bergamotgate.discovery.servers import DiscoveredServer, ServerStanding
+from bergamotgate.discovery.statements import NO_STATEMENT, ServerStatement
 
-__all__ = ["DiscoveredServer", "ServerRegistry", "ServerStanding"]
+__all__ = [
+    "NO_STATEMENT",
+    "DiscoveredServer",
+    "ServerRegistry",
+    "ServerStanding",
+    "ServerStatement",
+]
--- a/bergamotgate/discovery/registry.py
+++ b/bergamotgate/discovery/registry.py
@@ -6,12 +6,18 @@
 registers again.
 """
 
+import math
 from collections.abc import Callable
 
 from loguru import logger
 
 from bergamotgate.clock import Clock
 from bergamotgate.discovery.servers import DiscoveredServer, ServerStanding
+from bergamotgate.discovery.statements import (
+    DEFAULT_MAX_PAUSE_S,
+    ServerStatement,
+    ServerStatements,
+)
 
 __all__ = ["LAPSE_GRACE_S", "ServerRegistry"]
 
@@ -23,9 +29,19 @@
 
 
 class ServerRegistry:
-    """Servers by identifier and by pool, and the zones out of service."""
+    """Servers by identifier and by pool, and the zones out of service.
 
-    def __init__(self, clock: Clock):
+    It is the one place that tells whether a server takes a request now: by its registration, by the
+    zones out of service, and by what the server said of itself in replies.
+    """
+
+    def __init__(self, clock: Clock, max_pause_s: float = DEFAULT_MAX_PAUSE_S):
+        """Create an empty registry.
+
+        Args:
+            clock: Source of the current time.
+            max_pause_s: Longest pause in seconds that a server may ask for.
+        """
         self._clock = clock
         self._server_by_id: dict[str, DiscoveredServer] = {}
         self._servers_by_pool: dict[str, dict[str, DiscoveredServer]] = {}
@@ -34,6 +50,7 @@
         self._start_listeners: list[OnServer] = []
         self._end_listeners: list[OnServer] = []
         self._zones_out: frozenset[str] = frozenset()
+        self._statements = ServerStatements(clock, max_pause_s, self._forget_usable)
         # Cached until a change, as each sub-request reads it.
         self._usable_by_pool: dict[str, list[DiscoveredServer]] = {}
 
@@ -64,11 +81,50 @@
         return len(self._server_by_id)
 
     def takes_work(self, server: DiscoveredServer) -> bool:
-        """Whether a server takes new requests."""
+        """Whether a server takes new requests now."""
+        return self._is_in_service(server) and self._statements.wait_s(server.server) <= 0
+
+    def _is_in_service(self, server: DiscoveredServer) -> bool:
         return server.standing is ServerStanding.READY and server.zone not in self.zones_out
 
+    def wait_s(self, server: DiscoveredServer) -> float:
+        """Seconds until a server takes new requests, as it said in its replies; infinite if never.
+
+        Its registration and its zone are not considered.
+        """
+        return self._statements.wait_s(server.server)
+
+    def pause_left_s(self, pool: str) -> float:
+        """Seconds until the first paused server of a pool takes requests; infinite without one."""
+        servers = self._servers_by_pool.get(pool, {}).values()
+        waits_s = (self.wait_s(server) for server in servers if self._is_in_service(server))
+        return min((wait_s for wait_s in waits_s if wait_s > 0), default=math.inf)
+
+    def note_statement(self, server: DiscoveredServer, statement: ServerStatement) -> bool:
+        """Record what a reply says of its server, unless that lifetime has ended.
+
+        Returns:
+            Whether it keeps requests from the server that would have been sent before.
+        """
+        known = self._server_by_id.get(server.server)
+        if known is None or not known.same_lifetime(server):
+            return False
+        if not self._statements.note(server.server, statement):
+            return False
+        fields = {"server": server.server, "pool": server.pool, "pause_s": statement.pause_s}
+        logger.bind(**fields).info(
+            "discovery: Server {}.", "leaves" if statement.leaving else "asks for a pause"
+        )
+        return True
+
+    def _forget_usable(self, server: str) -> None:
+        known = self._server_by_id.get(server)
+        if known is not None:
+            self._usable_by_pool.pop(known.pool, None)
+
     def usable(self, pool: str) -> list[DiscoveredServer]:
         """Servers of a pool that take new requests; not to be modified."""
+        self._statements.expire()
         usable = self._usable_by_pool.get(pool)
         if usable is None:
             servers = self._servers_by_pool.get(pool, {}).values()
@@ -146,6 +202,7 @@
         self._usable_by_pool.pop(server.pool, None)
         self._lapsed_at_by_id.pop(server.server, None)
         self._cold_until_by_id.pop(server.server, None)
+        self._statements.forget(server.server)
         logger.info("discovery: Server {} of {} is gone.", server.server, server.pool)
         for listener in self._end_listeners:
             listener(server)
--- a/bergamotgate/gateway/localview.py
+++ b/bergamotgate/gateway/localview.py
@@ -10,6 +10,7 @@
 from bergamotgate.config.catalogue import Catalogue
 from bergamotgate.discovery.registry import ServerRegistry
 from bergamotgate.discovery.servers import DiscoveredServer
+from bergamotgate.discovery.statements import DEFAULT_MAX_PAUSE_S
 from bergamotgate.metrics import Metrics
 from bergamotgate.publication.items import ItemTable, PublishedItem
 
@@ -76,12 +77,13 @@
         lapse_possible: Callable[[], bool],
         clock: Clock,
         metrics: Metrics,
+        max_pause_s: float = DEFAULT_MAX_PAUSE_S,
     ):
         self._decoder = decoder
         self._lapse_possible = lapse_possible
         self._metrics = metrics
         self.catalogue: Catalogue | None = None
-        self.registry = ServerRegistry(clock)
+        self.registry = ServerRegistry(clock, max_pause_s)
         items.on_change(self._apply_changes)
 
     def _apply_changes(self, changed: list[PublishedItem]) -> None:
--- a/bergamotgate/gateway/node.py
+++ b/bergamotgate/gateway/node.py
@@ -8,6 +8,7 @@
 
 from bergamotgate.clock import Clock, TaskGroup
 from bergamotgate.delegate import DelegateClient, DelegateService
+from bergamotgate.discovery.statements import DEFAULT_MAX_PAUSE_S
 from bergamotgate.gateway.directory import ClientDirectory
 from bergamotgate.gateway.handler import QueryHandler
 from bergamotgate.gateway.limitends import LimitEndNews
@@ -71,6 +72,7 @@
         extra: Limits on extra requests (retries and hedges), as operators set them.
         first_start: Whether the whole system starts for the first time.
         capacity: CPU time of this VM, in hundredths of a core; 0 when it is not known.
+        max_pause_s: Longest pause in seconds that a server may ask for.
     """
 
     vm: str
@@ -85,6 +87,7 @@
     extra: ExtraRules
     first_start: bool = False
     capacity: int = 0
+    max_pause_s: float = DEFAULT_MAX_PAUSE_S
 
 
 @dataclass(frozen=True)
@@ -214,7 +217,12 @@
             self.metrics,
         )
         self.local_view = LocalView(
-            self.items, services.decoder, self.follower.lapse_possible, clock, self.metrics
+            self.items,
+            services.decoder,
+            self.follower.lapse_possible,
+            clock,
+            self.metrics,
+            self.settings.max_pause_s,
         )
 
     def _make_relay(self, clock: Clock) -> None:
--- a/bergamotgate/metrics.py
+++ b/bergamotgate/metrics.py
@@ -33,6 +33,9 @@
         self.rate_limited = self._counter(
             "rate_limited", "Sub-requests to servers that state a request rate.", "pool event"
         )
+        self.server_statements = self._counter(
+            "server_statements", "Servers that said that they leave or want a pause.", "pool kind"
+        )
         self.task_failures = self._counter("task_failures", "Failed background tasks.", "component")
         self.strikes = self._counter("strikes", "Servers lost to a request.", "pool")
         self.request_latency = Histogram(
--- a/bergamotgate/outcomes.py
+++ b/bergamotgate/outcomes.py
@@ -39,6 +39,7 @@
     NO_SERVER = "no_server"
     ALL_DECLINED = "all_declined"
     RATE_LIMITED = "rate_limited"
+    SERVERS_PAUSED = "servers_paused"
 
 
 class UnknownReason(StrEnum):
--- a/bergamotgate/placement/chooser.py
+++ b/bergamotgate/placement/chooser.py
@@ -26,6 +26,9 @@
 MIN_IN_FLIGHT = 2
 # A server in backoff is still used when no other is left.
 BACKOFF_PENALTY_S = 10.0
+# Callers of a paused pool return over this share of the pause, and at least over this time.
+PAUSE_SPREAD_SHARE = 0.25
+MIN_PAUSE_SPREAD_S = 0.2
 
 
 @dataclass(frozen=True)
@@ -134,6 +137,19 @@
         servers = [s for s in self._registry.usable(pool) if s.server not in excluded]
         return min((self._rate_retry_s(s, delegable) for s in servers), default=math.inf)
 
+    def pause_retry_s(
+        self, pool: str, excluded: Collection[str] = (), delegable: bool = False
+    ) -> float:
+        """Return the seconds after which a request should come again if all servers want a pause.
+
+        0 if the pool has a server apart from those excluded that takes requests now; infinite if
+        none is to come back. The time is spread, so that callers do not return all at once.
+        """
+        if self.has_servers(pool, excluded):
+            return 0.0
+        left_s = self._registry.pause_left_s(pool)
+        return left_s + self._rng.uniform(0, max(MIN_PAUSE_SPREAD_S, PAUSE_SPREAD_SHARE * left_s))
+
     def reserve(
         self, pool: str, latest_at: float, excluded: Collection[str] = ()
     ) -> Reservation | None:
--- a/bergamotgate/platform/daemon.py
+++ b/bergamotgate/platform/daemon.py
@@ -7,12 +7,14 @@
 import random
 import signal
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 import click
 from loguru import logger
 
 from bergamotgate.clock import MonotonicClock, wall_milliseconds
+from bergamotgate.discovery.statements import DEFAULT_MAX_PAUSE_S
 from bergamotgate.errors import AddressInUse, SettingsError
 from bergamotgate.gateway.node import GatewayNode, GatewayServices, GatewaySettings
 from bergamotgate.logs import set_up_structured_logs
@@ -40,7 +42,14 @@
 
 @click.command()
 @click.option("--metrics-port", type=int, default=None, help="Port for metrics.")
-def main(metrics_port: int | None) -> None:
+@click.option(
+    "--max-server-pause",
+    type=click.FloatRange(min=0),
+    default=DEFAULT_MAX_PAUSE_S,
+    show_default=True,
+    help="Longest pause that a server may ask for, in seconds.",
+)
+def main(metrics_port: int | None, max_server_pause: float) -> None:
     """Serve clients with the settings file that the platform names.
 
     Exit status: 0 after SIGTERM or SIGINT, 2 for errors in the settings, 3 for an address that is
@@ -48,7 +57,7 @@
     """
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
-        settings = load_site_settings(path)
+        settings = replace(load_site_settings(path), max_pause_s=max_server_pause)
     except SettingsError as error:
         for problem in error.problems:
             click.echo(f"{error.source}: {problem}", err=True)
--- a/bergamotgate/platform/names.py
+++ b/bergamotgate/platform/names.py
@@ -6,6 +6,8 @@
     "MISSING_PARTS",
     "NOT_EXECUTED",
     "PART_STAMPS",
+    "RETRY_AFTER",
+    "SERVER_LEAVING",
     "SERVER_LIMIT",
     "SERVER_STAMP",
     "TARGET_INSTANCE",
@@ -17,6 +19,10 @@
 DEADLINE_MS = "X-Deadline-Ms"
 # Requests a second that a server takes from all VMs together, a decimal number.
 SERVER_LIMIT = "Server-Limit"
+# Seconds; with status 503 of a server, the time for which it wants no request from this VM.
+RETRY_AFTER = "Retry-After"
+# "1" in each reply of a server that is about to stop.
+SERVER_LEAVING = "Server-Leaving"
 # A server's signature of its reply.
 SERVER_STAMP = "X-Server-Stamp"
 # Identifier of the server that must answer.
--- a/bergamotgate/platform/replicacodec.py
+++ b/bergamotgate/platform/replicacodec.py
@@ -5,7 +5,7 @@
 from loguru import logger
 
 from bergamotgate.backend.http1 import RawReply
-from bergamotgate.discovery.servers import DiscoveredServer
+from bergamotgate.discovery import NO_STATEMENT, DiscoveredServer, ServerStatement
 from bergamotgate.platform import names
 from bergamotgate.relay.messages import ClientRequest, ServerReply, WrongReplyReason
 
@@ -18,6 +18,10 @@
 SERVER_STAMP = names.SERVER_STAMP.lower()
 NOT_EXECUTED = names.NOT_EXECUTED.lower()
 SERVER_LIMIT = names.SERVER_LIMIT.lower()
+SERVER_LEAVING = names.SERVER_LEAVING.lower()
+RETRY_AFTER = names.RETRY_AFTER.lower()
+UNAVAILABLE = 503
+LEAVING = "1"
 
 
 class PlatformCodec:
@@ -62,21 +66,48 @@
             not_run=not_run,
             misdirected=raw.status == MISDIRECTED,
             rate_limit=_rate_limit(header_by_name.get(SERVER_LIMIT)),
+            statement=_statement(raw, header_by_name),
         )
 
 
+def _statement(raw: RawReply, header_by_name: dict[str, str]) -> ServerStatement:
+    """What a reply says of its server; nothing if another server has its address now."""
+    if raw.status == MISDIRECTED:
+        return NO_STATEMENT
+    leaving = SERVER_LEAVING in header_by_name and any(
+        name == SERVER_LEAVING and value.strip() == LEAVING for name, value in raw.headers
+    )
+    pause_s = _pause_s(header_by_name.get(RETRY_AFTER)) if raw.status == UNAVAILABLE else 0.0
+    return ServerStatement(leaving, pause_s) if leaving or pause_s else NO_STATEMENT
+
+
+def _pause_s(text: str | None) -> float:
+    """Seconds; 0 if the server asks for no pause or for one that is not usable."""
+    if text is None:
+        return 0.0
+    pause_s = _number(text)
+    if pause_s is None:
+        logger.warning("relay: Ignored a pause that is no number of seconds: {!r:.40}.", text)
+    return pause_s or 0.0
+
+
 def _rate_limit(text: str | None) -> float | None:
     """Requests per second; None if the server states no limit or one that is not usable."""
     if text is None:
         return None
+    rate_per_s = _number(text)
+    if rate_per_s is None:
+        logger.warning("relay: Ignored a stated request rate that is no number: {!r}.", text)
+    return rate_per_s
+
+
+def _number(text: str) -> float | None:
+    """A finite decimal number that is not negative; None for any other text."""
     try:
-        rate_per_s = float(text)
+        number = float(text)
     except ValueError:
-        rate_per_s = math.nan
-    if not math.isfinite(rate_per_s) or rate_per_s < 0:
-        logger.warning("relay: Ignored a stated request rate that is no number: {!r}.", text)
         return None
-    return rate_per_s
+    return number if math.isfinite(number) and number >= 0 else None
 
 
 def _shared_head(request: ClientRequest) -> bytes:
--- a/bergamotgate/relay/context.py
+++ b/bergamotgate/relay/context.py
@@ -24,6 +24,7 @@
     "Wakeup",
     "client_deadline",
     "pool_rules",
+    "refuse_for_pause",
     "refuse_for_rate",
 ]
 
@@ -83,6 +84,11 @@
     return FailedAnswer(NotRun(NotRunReason.RATE_LIMITED), max(MIN_RATE_RETRY_S, delay_s))
 
 
+def refuse_for_pause(delay_s: float) -> FailedAnswer:
+    """Refuse a request whose servers all want a pause, until the first of them is back."""
+    return FailedAnswer(NotRun(NotRunReason.SERVERS_PAUSED), delay_s)
+
+
 def pool_rules(catalogue: Catalogue, pool: str) -> PoolRules:
     """Return the rules of a pool; conservative defaults if the catalogue has none."""
     rules = catalogue.rules_by_pool.get(pool)
--- a/bergamotgate/relay/messages.py
+++ b/bergamotgate/relay/messages.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from bergamotgate.backend.http1 import ExchangeFailure, RawReply
-from bergamotgate.discovery.servers import DiscoveredServer
+from bergamotgate.discovery import NO_STATEMENT, DiscoveredServer, ServerStatement
 from bergamotgate.outcomes import NotRun, Unknown
 
 __all__ = [
@@ -77,6 +77,7 @@
         misdirected: Whether the address belongs to another server now.
         rate_limit: Requests per second that the server takes from all VMs together; None if it
             states no limit.
+        statement: What the server says of itself.
     """
 
     status: int
@@ -86,6 +87,7 @@
     not_run: bool
     misdirected: bool
     rate_limit: float | None = None
+    statement: ServerStatement = NO_STATEMENT
 
     @property
     def success(self) -> bool:
@@ -97,6 +99,11 @@
         """Whether a caller would take it for a refusal, though the request may have run."""
         return self.status in REFUSAL_STATUSES and not self.not_run
 
+    @property
+    def refused_for_pause(self) -> bool:
+        """Whether the server did not run the request, as it leaves or wants a pause."""
+        return self.not_run and self.statement is not NO_STATEMENT
+
     @property
     def tells_rate_limit(self) -> bool:
         """Whether the reply tells if the server limits its rate.
--- a/bergamotgate/relay/scatter.py
+++ b/bergamotgate/relay/scatter.py
@@ -5,6 +5,7 @@
 the route have replied. It is sent earlier if only shards without an available server are missing.
 """
 
+import math
 from collections import Counter
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
@@ -18,6 +19,7 @@
     Wakeup,
     client_deadline,
     pool_rules,
+    refuse_for_pause,
     refuse_for_rate,
 )
 from bergamotgate.relay.decisions import log_budget_exhausted, log_failure, log_hedge, log_retry
@@ -66,6 +68,7 @@
         reply: Its reply, once there is one.
         sub_attempts: Sub-requests in progress.
         tried: Servers that a sub-request may have reached.
+        paused: Those of them that refused it and want a pause.
         refused: Servers that could not be reached since the shard was last tried anew.
         counted: Whether the first sub-request is counted in the pool's budget.
         budget_exhausted: Whether a further sub-request was denied by the pool's budget.
@@ -76,6 +79,7 @@
     reply: ServerReply | None = None
     sub_attempts: list[SubAttempt] = field(default_factory=list)
     tried: list[str] = field(default_factory=list)
+    paused: set[str] = field(default_factory=set)
     refused: set[str] = field(default_factory=set)
     counted: bool = False
     budget_exhausted: bool = False
@@ -118,6 +122,9 @@
         if self._suspicion.refused:
             return FailedAnswer(NotRun(NotRunReason.QUARANTINED), QUARANTINED_RETRY_S)
         if self._count_reachable_shards() < self._route.shards.min_shards:
+            retry_s = self._least_for_enough_shards(self._context.chooser.pause_retry_s)
+            if retry_s < math.inf:
+                return refuse_for_pause(retry_s)
             return FailedAnswer(NotRun(NotRunReason.NO_SERVER), NO_SERVER_RETRY_S)
         rate_delay_s = self._least_for_enough_shards(self._context.chooser.rate_delay_s)
         if rate_delay_s > 0 and self._context.clock.now() + rate_delay_s > self._latest_send_at():
@@ -275,7 +282,7 @@
 
     def _send_extra(self, shard: _Shard, allowed: Collection[str] | None = None) -> bool:
         """Send an extra sub-request to a server not tried yet, or to one of those allowed."""
-        if allowed is None and len(set(shard.tried)) >= self._route.max_servers:
+        if allowed is None and len(set(shard.tried) - shard.paused) >= self._route.max_servers:
             return False
         tried = shard.tried if allowed is None else ()
         sent = self._context.send_extra(
@@ -322,6 +329,8 @@
             return
         took_s = self._context.clock.now() - sub_attempt.started_at
         log_failure(self._request, sub_attempt, result, took_s)
+        if isinstance(result, ServerReply) and result.refused_for_pause:
+            shard.paused.add(sub_attempt.server.server)
         unsent = isinstance(result, SendFailure) and result.proves_not_run
         if unsent:
             shard.tried.remove(sub_attempt.server.server)
--- a/bergamotgate/relay/sender.py
+++ b/bergamotgate/relay/sender.py
@@ -206,6 +206,7 @@
 
     def _note_reply(self, sub_attempt: SubAttempt, reply: ServerReply, took_s: float) -> None:
         load = sub_attempt.load
+        self._servers.note_statement(sub_attempt.server, reply.statement)
         if reply.tells_rate_limit:
             self._rates.note_reply(sub_attempt.server, reply.rate_limit, sub_attempt.started_at)
         if reply.misdirected:
--- a/bergamotgate/relay/servers.py
+++ b/bergamotgate/relay/servers.py
@@ -5,6 +5,7 @@
 from bergamotgate.clock import Clock
 from bergamotgate.discovery.registry import ServerRegistry
 from bergamotgate.discovery.servers import DiscoveredServer
+from bergamotgate.discovery.statements import NO_STATEMENT, ServerStatement
 from bergamotgate.metrics import Metrics
 from bergamotgate.placement.load import RouteLatency, ServerLoad
 
@@ -24,6 +25,7 @@
         metrics: Metrics,
         reply_limits: ReplyLimits | None = None,
     ):
+        self._registry = registry
         self._clock = clock
         self._metrics = metrics
         self._reply_memory = ReplyMemory(reply_limits or ReplyLimits())
@@ -54,6 +56,13 @@
             self._latency_by_route[route] = latency
         return latency
 
+    def note_statement(self, server: DiscoveredServer, statement: ServerStatement) -> None:
+        """Record what a reply says of its server."""
+        if statement is NO_STATEMENT or not self._registry.note_statement(server, statement):
+            return
+        kind = "leaving" if statement.leaving else "pause"
+        self._metrics.server_statements.labels(server.pool, kind).inc()
+
     def close_idle(self) -> None:
         """Close every connection without a request in progress."""
         for connections in self._connections_by_server.values():
--- a/bergamotgate/relay/single.py
+++ b/bergamotgate/relay/single.py
@@ -7,7 +7,7 @@
 import math
 
 from bergamotgate.config.catalogue import Catalogue, Route
-from bergamotgate.discovery.servers import DiscoveredServer
+from bergamotgate.discovery import DiscoveredServer
 from bergamotgate.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
 from bergamotgate.placement.chooser import Reservation
 from bergamotgate.relay.context import (
@@ -17,6 +17,7 @@
     Wakeup,
     client_deadline,
     pool_rules,
+    refuse_for_pause,
     refuse_for_rate,
 )
 from bergamotgate.relay.decisions import log_budget_exhausted, log_failure, log_hedge, log_retry
@@ -77,6 +78,7 @@
         self._wakeup = Wakeup()
         self._sub_attempts: list[SubAttempt] = []
         self._unreachable: set[str] = set()
+        self._paused: set[str] = set()
         self._reservation: Reservation | None = None
         self._answer: Answer | None = None
         self._failed_reply: ServerReply | None = None
@@ -173,7 +175,8 @@
         self._context.budget(self._pool).note_first()
 
     def _send_extra(self) -> bool:
-        if len(set(self.servers)) >= self._route.max_servers:
+        # A refusal of a server that wants a pause leaves the tries for failures.
+        if len(set(self.servers) - self._paused) >= self._route.max_servers:
             return False
         return self._context.send_extra(
             self._pool, self._send, lambda: log_budget_exhausted(self._request, self._pool)
@@ -208,6 +211,8 @@
             took_s = self._context.clock.now() - sub_attempt.started_at
             log_failure(self._request, sub_attempt, result, took_s)
         if isinstance(result, ServerReply):
+            if result.refused_for_pause:
+                self._paused.add(sub_attempt.server.server)
             self._on_reply(result)
         elif result.proves_not_run:
             self.servers.remove(sub_attempt.server.server)
@@ -262,6 +267,8 @@
             self._answer = FailedAnswer(Unknown(UNKNOWN_REASON_BY_FAILURE[self._ambiguous_failure]))
         elif not self.servers and 0 < (retry_s := self._rate_retry_s()) < math.inf:
             self._answer = refuse_for_rate(retry_s)
+        elif 0 < (retry_s := self._context.chooser.pause_retry_s(self._pool)) < math.inf:
+            self._answer = refuse_for_pause(retry_s)
         elif self._context.chooser.has_servers(self._pool):
             self._answer = FailedAnswer(NotRun(NotRunReason.ALL_DECLINED), ALL_DECLINED_RETRY_S)
         else:
--- a/bergamotgate/standin/replica.py
+++ b/bergamotgate/standin/replica.py
@@ -95,7 +95,7 @@
     received_at: float
 
 
-@dataclass
+@dataclass(eq=False)
 class StandInReplica:
     """A simulated backend server that listens on loopback.
 
@@ -106,6 +106,9 @@
         faults: Faults for the next requests, in order; ``fault`` applies once it is empty.
         fault: Fault for all further requests.
         stated_rate: Requests per second that every reply states as the limit for all VMs together.
+        leaving: Whether every reply says that the server is about to stop.
+        pause: While set, every request gets status 503 with this value of Retry-After.
+        pause_runs: Whether a request runs before it gets that answer.
         received_requests: All requests received, including refused ones.
         run_count: Number of requests run.
         run_attempts: Attempt identifiers of the requests run.
@@ -121,6 +124,9 @@
     faults: list[Fault] = field(default_factory=list)
     fault: Fault = Fault.NONE
     stated_rate: str | None = None
+    leaving: bool = False
+    pause: str | None = None
+    pause_runs: bool = False
     received_requests: list[ReceivedRequest] = field(default_factory=list)
     run_count: int = 0
     run_attempts: list[str] = field(default_factory=list)
@@ -163,10 +169,12 @@
         fault: Fault,
     ) -> bool:
         """Answer one request; return whether to keep the connection open."""
+        if self.pause is not None:
+            fault = Fault.UNAVAILABLE_AFTER_RUN if self.pause_runs else Fault.SHED
         refusal = {Fault.SHED: "503 Service Unavailable", Fault.MISDIRECTED: "421 Misdirected"}
         if fault in refusal:
             attempt = request.headers.get("x-attempt-id", "")
-            refused = f"X-Attempt-Id: {attempt}\r\nX-Not-Executed: 1\r\n{self._stated_rate()}"
+            refused = f"X-Attempt-Id: {attempt}\r\nX-Not-Executed: 1\r\n{self._statements()}"
             writer.write(_head(refusal[fault], 0, refused))
             return True
         if self.on_run is not None:
@@ -198,7 +206,7 @@
         stamp_header = f"X-Server-Stamp: {self.server}.{attempt}\r\n"
         extra = "" if fault is Fault.NO_ATTEMPT else f"X-Attempt-Id: {echoed_attempt}\r\n"
         extra += "" if fault is Fault.UNSIGNED else stamp_header
-        extra += self._stated_rate()
+        extra += self._statements()
         if fault is Fault.ENCODED:
             extra += "Content-Encoding: gzip\r\n"
         status = STATUS_BY_FAULT.get(fault, "200 OK")
@@ -240,8 +248,15 @@
         writer.write(response)
         return True
 
-    def _stated_rate(self) -> str:
-        return "" if self.stated_rate is None else f"Server-Limit: {self.stated_rate}\r\n"
+    def _statements(self) -> str:
+        """Headers that say something of the server itself."""
+        value_by_name = {
+            "Server-Limit": self.stated_rate,
+            "Server-Leaving": "1" if self.leaving else None,
+            "Retry-After": self.pause,
+        }
+        lines = (f"{n}: {v}\r\n" for n, v in value_by_name.items() if v is not None)
+        return "".join(lines)
 
 
 def _head(status: str, length: int, extra: str) -> bytes:
--- a/bergamotgate/standin/soak.py
+++ b/bergamotgate/standin/soak.py
@@ -20,7 +20,7 @@
 from bergamotgate.standin.replica import Fault, StandInReplica
 from bergamotgate.standin.soakcaller import SoakCaller, check_calls, check_rate
 from bergamotgate.standin.soakplatform import SoakPlatform
-from bergamotgate.standin.soakviews import check_views
+from bergamotgate.standin.soakviews import check_statements, check_views
 from bergamotgate.standin.store import StoreFault
 
 __all__ = ["Soak", "main"]
@@ -180,6 +180,9 @@
         try:
             await self._inject_faults(gateways)
             await self._check_recovery(callers)
+            self.violations += await check_statements(
+                self._replicas[-3], self._replicas[2], self._vms
+            )
             views = await check_views(
                 self._platform, fronts, self._replicas[-2], **self._registrations[-2]
             )
--- a/bergamotgate/standin/soakviews.py
+++ b/bergamotgate/standin/soakviews.py
@@ -1,4 +1,4 @@
-"""Checks for the soak test that every VM acts on the newest published state."""
+"""Checks for the soak test that VMs act on the newest published state and on servers' words."""
 
 import asyncio
 from dataclasses import dataclass
@@ -8,13 +8,18 @@
 from bergamotgate.standin.replica import StandInReplica
 from bergamotgate.standin.soakplatform import HOST, SoakPlatform
 
-__all__ = ["ViewReport", "check_views"]
+__all__ = ["ViewReport", "check_statements", "check_views"]
 
 # Stated targets: a change is in force, and a draining server left alone, after this time.
 IN_FORCE_S = 3.0
 OBSERVE_S = 1.0
 TIMEOUT_S = 3.0
 NOT_FOUND = 404
+# A VM may not have heard a server's word before its first request after it, and may try a paused
+# server twice.
+PAUSE_S = 6.0
+REQUESTS_TO_LEAVING = 1
+REQUESTS_TO_PAUSED = 3
 
 
 @dataclass(frozen=True)
@@ -61,6 +66,31 @@
     return ViewReport(tuple(violations), tuple(attempts))
 
 
+async def check_statements(
+    leaving: StandInReplica, paused: StandInReplica, vms: int
+) -> tuple[str, ...]:
+    """Let one server say that it leaves and another one ask for a pause, under load.
+
+    Returns:
+        A description for each of them that gets more requests than VMs that heed it may send.
+    """
+    leaving.leaving, paused.pause = True, f"{PAUSE_S:g}"
+    await asyncio.sleep(IN_FORCE_S)
+    most_by_server = {leaving: REQUESTS_TO_LEAVING * vms, paused: REQUESTS_TO_PAUSED * vms}
+    before_by_server = {server: len(server.received_requests) for server in most_by_server}
+    await asyncio.sleep(PAUSE_S - IN_FORCE_S)
+    paused.pause = None
+    late_by_server = {
+        server: len(server.received_requests) - before
+        for server, before in before_by_server.items()
+    }
+    return tuple(
+        f"{server.server} got {late} requests, not {most_by_server[server]}, after its word"
+        for server, late in late_by_server.items()
+        if late > most_by_server[server]
+    )
+
+
 def _attempt(front: str, version: int) -> str:
     return f"view-{version}-{front}"
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,8 @@
 from bergamotgate.standin.replica import ReceivedRequest, StandInReplica
 from bergamotgate.standin.soak import Soak
 from bergamotgate.standin.soakcaller import Call, check_calls, check_rate
-from tests.support import check, make_load_tests
+from bergamotgate.standin.soakviews import check_statements
+from tests.support import check, make_load_tests, virtual_time
 
 SEED = 7
 FAULT_DURATION_S = 4.0
@@ -66,6 +67,22 @@
     check.assertEqual([], check_rate(replica, 1.0, 22.0))
 
 
+@virtual_time
+async def test_vms_that_ignore_the_words_of_servers_are_detected():
+    for requests_per_s, expected in ((0.2, 0), (20.0, 2)):
+        leaving, paused, *_ = make_replicas()
+        checking = asyncio.ensure_future(check_statements(leaving, paused, 3))
+        for replica in (leaving, paused):
+            asyncio.ensure_future(receive_requests(replica, requests_per_s))
+        check.assertEqual(expected, len(await checking), requests_per_s)
+
+
+async def receive_requests(replica: StandInReplica, requests_per_s: float) -> None:
+    while True:
+        await asyncio.sleep(1 / requests_per_s)
+        replica.received_requests.append(ReceivedRequest("GET", "/", {}, b"", 0.0))
+
+
 def test_short_soak_violates_no_invariant():
     with tempfile.TemporaryDirectory() as folder:
         soak = Soak(SEED, FAULT_DURATION_S, Path(folder))
