Soak: restart processes that ended, and check pauses and leaving servers

The soak now restarts such a process, as the platform does, and reports each end later than a second after a start, which the platform's rules count.

--- a/bergamotgate/standin/soak.py
+++ b/bergamotgate/standin/soak.py
@@ -43,6 +43,10 @@
 STATED_RATES = ("0.5", "2", "8", "30")
 GRACE_S = 6.0
 RESTART_DELAY_S = 0.3
+WATCH_INTERVAL_S = 0.1
+# The platform excuses the end of a process this soon after its start, as by a signal that comes
+# before the process handles it.
+EXCUSED_AFTER_START_S = 1.0
 SETTINGS_TEMPLATE = """
 nodeName = "vm-{number}"
 zone = "{zone}"
@@ -84,7 +88,7 @@
         self._settings_path = folder / f"vm-{number}.toml"
         self._log_path = folder / f"vm-{number}.log"
         self._process: asyncio.subprocess.Process | None = None
-        self._ended = False
+        self._started_at = 0.0
 
     async def start(self, first: bool) -> None:
         """Start the process.
@@ -113,6 +117,11 @@
                 stderr=log,
                 env=os.environ | {"BERGAMOTGATE_SETTINGS": str(self._settings_path)},
             )
+        self._started_at = asyncio.get_running_loop().time()
+
+    def ran_s(self) -> float:
+        """Return the seconds since the last start of the process."""
+        return asyncio.get_running_loop().time() - self._started_at
 
     @property
     def exit_status(self) -> int | None:
@@ -177,6 +186,7 @@
             SoakCaller(n, fronts, random.Random(n)) for n in range(CALLERS_PER_VM * self._vms)
         ]
         caller_tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
+        watching = asyncio.ensure_future(self._restart_ended(gateways))
         try:
             await self._inject_faults(gateways)
             await self._check_recovery(callers)
@@ -187,6 +197,7 @@
                 self._platform, fronts, self._replicas[-2], **self._registrations[-2]
             )
         finally:
+            watching.cancel()
             for caller in callers:
                 caller.stop()
             await asyncio.gather(*caller_tasks, return_exceptions=True)
@@ -198,6 +209,25 @@
         self.violations += views.violations
         self.violations += check_calls(calls, self._replicas, SHARDS, views.attempts)
 
+    async def _restart_ended(self, gateways: list[GatewayProcess]) -> None:
+        """Restart processes that ended by themselves, as the platform does."""
+        while True:
+            for gateway in gateways:
+                if gateway.exit_status is None:
+                    continue
+                async with _ExclusiveRestart(gateway) as acquired:
+                    if acquired and gateway.exit_status is not None:
+                        await self._restart_one_ended(gateway)
+            await asyncio.sleep(WATCH_INTERVAL_S)
+
+    async def _restart_one_ended(self, gateway: GatewayProcess) -> None:
+        if gateway.ran_s() > EXCUSED_AFTER_START_S + WATCH_INTERVAL_S:
+            self.violations.append(
+                f"vm-{gateway.number} ended by itself with status {gateway.exit_status}"
+            )
+        await asyncio.sleep(RESTART_DELAY_S)
+        await gateway.start(first=False)
+
     async def _start_platform(self) -> None:
         self._store.start()
         self._store_proxy = await self._start_proxy(self._store.address)
--- a/bergamotgate/standin/soakviews.py
+++ b/bergamotgate/standin/soakviews.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
 from bergamotgate.standin.replica import StandInReplica
 from bergamotgate.standin.soakplatform import HOST, SoakPlatform
@@ -15,6 +15,7 @@
 OBSERVE_S = 1.0
 TIMEOUT_S = 3.0
 NOT_FOUND = 404
+NO_ANSWER = 0
 # A VM may not have heard a server's word before its first request after it, and may try a paused
 # server twice.
 PAUSE_S = 6.0
@@ -56,7 +57,7 @@
     for front in fronts:
         if await _status(front, dropped) != NOT_FOUND:
             violations.append(f"{front} still serves the route of version {dropped}")
-        if await _status(front, platform.version) == NOT_FOUND:
+        if await _status(front, platform.version) in (NOT_FOUND, NO_ANSWER):
             violations.append(f"{front} does not serve the route of version {platform.version}")
     await asyncio.sleep(OBSERVE_S)
     late = len(draining.received_requests) - requests_before
@@ -96,12 +97,15 @@
 
 
 async def _status(front: str, version: int) -> int:
-    """Status of a request on the route that only one configuration has; 599 without an answer."""
+    """Status of a request on the route that only one configuration has."""
     headers = {"Host": HOST, "X-Attempt-Id": _attempt(front, version), "X-Deadline-Ms": "2000"}
-    response = await AsyncHTTPClient().fetch(
-        f"http://{front}/n{version}/1",
-        headers=headers,
-        request_timeout=TIMEOUT_S,
-        raise_error=False,
-    )
+    try:
+        response = await AsyncHTTPClient().fetch(
+            f"http://{front}/n{version}/1",
+            headers=headers,
+            request_timeout=TIMEOUT_S,
+            raise_error=False,
+        )
+    except (HTTPClientError, OSError):
+        return NO_ANSWER
     return response.code
