Accept any text that can be encoded in a configuration

The check of names against characters that cannot be printed also held for configurations, so that a valid one with an unusual prefix would have been refused as a whole. It holds for registrations only now; there, and in configurations, texts must be encodable. The new test failed before.

--- a/bergamotgate/platform/itemdecoder.py
+++ b/bergamotgate/platform/itemdecoder.py
@@ -85,9 +85,9 @@
         raise _FieldError(f"slots must be 1 to {MAX_SLOTS}, not {slots}")
     return DiscoveredServer(
         server=server,
-        pool=_text(entry, "service"),
+        pool=_name(entry, "service"),
         address=address,
-        zone=_text(entry, "zone"),
+        zone=_name(entry, "zone"),
         slots=slots,
         standing=STANDING_BY_STATE[state],
         cold_ms=_integer(entry, "coldRemainingMs"),
@@ -189,7 +189,16 @@
 
 def _text(entry: Any, name: str) -> str:
     text = _get(entry, name, None, str, "string")
-    # Unpaired surrogates, which JSON allows, cannot be encoded for peers, logs or metrics.
+    try:
+        text.encode()
+    except UnicodeEncodeError as error:
+        # JSON allows unpaired surrogates; peers and metrics do not.
+        raise _FieldError(f"{name} cannot be encoded") from error
+    return text
+
+
+def _name(entry: Any, name: str) -> str:
+    text = _text(entry, name)
     if not text.isprintable():
         raise _FieldError(f"{name} contains characters that cannot be printed")
     return text
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -162,6 +162,13 @@
     for route in ({"timeoutMs": HUGE}, {"timeoutMs": float("nan")}, {"gather": 7}, {"topK": HUGE}):
         check.assertIsInstance(decode("op/config", make_config(**route)), Unreadable, route)
     check.assertIsInstance(decode("op/config", make_config(HUGE)), Unreadable)
+    check.assertIsInstance(decode("op/config", make_config(name="\ud800")), Unreadable)
+
+
+def test_configuration_may_hold_any_text_that_can_be_encoded():
+    """Guards against a valid configuration that is refused for an unusual prefix."""
+    catalogue = decode("op/config", make_config(prefix="/s\u00a0\u2028/"))
+    check.assertIsInstance(catalogue, Catalogue)
 
 
 @real_time
