Generate cases for every boundary where bytes from outside come in

Faults that others report come again and again from bytes that a writer outside the project chose. hypothesis now generates entries, store answers, configurations, replies, datagrams and settings; each must give a typed error or a value in range, and the entries beside must hold.

--- /dev/null
+++ b/tests/test_boundaries.py
@@ -0,0 +1,241 @@
+"""Generated cases: whatever bytes come from outside, the result is typed and the rest holds."""
+
+import asyncio
+import base64
+import json
+import math
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bergamotgate.backend.http1 import RawReply
+from bergamotgate.clock import LoopClock
+from bergamotgate.config.catalogue import Catalogue
+from bergamotgate.discovery import DiscoveredServer
+from bergamotgate.errors import FrameError, PlatformUnavailable, SettingsError
+from bergamotgate.gateway.localview import LocalView, Unreadable
+from bergamotgate.metrics import Metrics
+from bergamotgate.platform.itemdecoder import PlatformItemDecoder
+from bergamotgate.platform.replicacodec import PlatformCodec
+from bergamotgate.platform.sitesettings import read_site_settings
+from bergamotgate.platform.store import PlatformStore
+from bergamotgate.publication import UNREAD, ItemTable, PublishedItem
+from bergamotgate.relay.messages import ClientRequest, ServerReply, WrongReplyReason
+from bergamotgate.relay.servers import ServerTracker
+from bergamotgate.standin.virtual import run_virtual
+from bergamotgate.wire import decode_datagram, encode
+from bergamotgate.wire.generated.ttypes import Datagram, PublishedNews
+from bergamotgate.wire.generated.ttypes import PublishedItem as WireItem
+from tests.gateways import GatewayFleet, make_config, make_server
+from tests.support import check, make_load_tests, serve_bytes
+from tests.test_platform_adapter import SETTINGS
+
+# The same cases in each run, so that a run says the same as the one before.
+EXAMPLES = settings(derandomize=True, max_examples=150, deadline=None, database=None)
+FEW_EXAMPLES = settings(derandomize=True, max_examples=25, deadline=None, database=None)
+
+NUMBERS = st.one_of(
+    st.integers(),
+    st.integers(min_value=2**62, max_value=10**400),
+    st.integers(max_value=-(2**62)),
+    st.floats(),
+    st.booleans(),
+)
+TEXTS = st.text(st.characters(exclude_categories=()), max_size=20)
+JSON_VALUES = st.recursive(
+    st.one_of(st.none(), NUMBERS, TEXTS),
+    lambda inner: st.one_of(st.lists(inner, max_size=3), st.dictionaries(TEXTS, inner, max_size=3)),
+    max_leaves=6,
+)
+SERVER = json.loads(make_server("shard-0", "10.1.1.1:80"))
+CONFIG = json.loads(make_config())
+ROUTE = CONFIG["routes"][0]
+
+
+def changed(entry: dict):
+    """Variants of a JSON object in which some fields hold something else or are missing."""
+    changes = st.dictionaries(st.sampled_from(sorted(entry)), JSON_VALUES, max_size=3)
+    missing = st.sets(st.sampled_from(sorted(entry)), max_size=2)
+    return st.builds(
+        lambda new, gone: {n: v for n, v in (entry | new).items() if n not in gone},
+        changes,
+        missing,
+    )
+
+
+def as_bytes(values):
+    return values.map(lambda value: json.dumps(value).encode())
+
+
+def nested(depths):
+    return depths.map(lambda depth: b'{"service":' + b"[" * depth + b"]" * depth + b"}")
+
+
+VALUES = st.one_of(
+    st.binary(max_size=60),
+    as_bytes(JSON_VALUES),
+    as_bytes(changed(SERVER)),
+    nested(st.integers(1, 5000)),
+)
+CONFIGS = st.one_of(
+    VALUES,
+    as_bytes(changed(CONFIG)),
+    as_bytes(changed(ROUTE).map(lambda route: CONFIG | {"routes": [route]})),
+)
+
+
+@EXAMPLES
+@given(key=TEXTS, value=VALUES)
+def test_any_registration_is_a_server_in_range_or_unreadable(key, value):
+    decoded = PlatformItemDecoder().decode(PublishedItem(f"servers/{key}", 5, value))
+    check.assertIsInstance(decoded, DiscoveredServer | Unreadable)
+    if isinstance(decoded, DiscoveredServer):
+        check.assertTrue(decoded.server.isascii() and decoded.server.isprintable())
+        check.assertLessEqual(1, decoded.slots)
+        check.assertTrue(math.isfinite(decoded.cold_ms / 1000))
+        check.assertTrue(0 < int(decoded.address.rpartition(":")[2]) < 65536)
+        (decoded.pool + decoded.zone).encode()
+
+
+@EXAMPLES
+@given(value=CONFIGS)
+def test_any_configuration_is_a_catalogue_or_unreadable(value):
+    decoded = PlatformItemDecoder().decode(PublishedItem("op/config", 5, value))
+    check.assertIsInstance(decoded, Catalogue | Unreadable)
+    if isinstance(decoded, Catalogue):
+        check.assertTrue(all(math.isfinite(route.timeout_s) for route in decoded.routes))
+        decoded.find_route("x.example", "/s/1")
+
+
+@EXAMPLES
+@given(values=st.lists(VALUES, min_size=1, max_size=4))
+def test_entries_beside_an_odd_one_hold(values):
+    async def play() -> None:
+        clock, metrics = LoopClock(), Metrics()
+        table = ItemTable(clock)
+        view = LocalView(table, PlatformItemDecoder(), lambda: False, clock, metrics)
+        ServerTracker(view.registry, clock, metrics)
+        odd = [PublishedItem(f"servers/odd-{n}", 2 + n, value) for n, value in enumerate(values)]
+        sound = PublishedItem("servers/sound", 9, make_server("p", "10.1.1.1:80"))
+        table.merge(UNREAD, 9, [PublishedItem("op/config", 1, make_config()), *odd, sound])
+        check.assertIsNotNone(view.catalogue)
+        check.assertEqual(["sound"], [server.server for server in view.registry.usable("p")])
+        check.assertNotIn(b'kind="not_applied"', metrics.text())
+
+    run_virtual(play)
+
+
+def as_answer(items: list) -> bytes:
+    body = json.dumps({"items": items, "events": items, "truncated": False, "asOf": 9}).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
+ITEM = {"key": "servers/i-1", "revision": 3, "value": base64.b64encode(b"{}").decode()}
+
+
+@FEW_EXAMPLES
+@given(
+    answer=st.one_of(
+        st.lists(st.one_of(changed(ITEM), JSON_VALUES), max_size=3).map(as_answer),
+        st.binary(max_size=80),
+        nested(st.integers(1, 5000)).map(
+            lambda body: b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        ),
+    )
+)
+def test_any_answer_of_the_store_is_read_or_a_failure_of_the_store(answer):
+    async def play() -> None:
+        async with serve_bytes(answer) as address:
+            store = PlatformStore(address)
+            for call in (store.changes(1, 0.05), store.read_all(newest=True)):
+                try:
+                    changes = await call
+                except PlatformUnavailable:
+                    continue
+                for item in changes.items:
+                    encode(
+                        Datagram(
+                            1,
+                            "vm",
+                            1,
+                            news=PublishedNews(
+                                1, 2, 3, [WireItem(item.key, item.revision, item.value)]
+                            ),
+                        )
+                    )
+
+    asyncio.run(play())
+
+
+HEADERS = st.sampled_from(
+    ["x-attempt-id", "x-server-stamp", "server-limit", "server-leaving", "retry-after"]
+)
+LATIN = st.text(st.characters(max_codepoint=255), max_size=30)
+
+
+@EXAMPLES
+@given(
+    status=st.integers(100, 599),
+    headers=st.lists(
+        st.tuples(HEADERS, st.one_of(LATIN, NUMBERS.map(str), st.just("a"))), max_size=5
+    ),
+)
+def test_any_reply_is_a_reply_in_range_or_a_wrong_one(status, headers):
+    request = ClientRequest("a", "GET", "x", "/", "/", (), b"", 1.0, 0.0)
+    raw = RawReply(status, (("x-attempt-id", "a"), *headers), b"")
+    reply = PlatformCodec().decode(request, raw)
+    check.assertIsInstance(reply, ServerReply | WrongReplyReason)
+    if isinstance(reply, ServerReply):
+        check.assertTrue(0 <= reply.statement.pause_s < math.inf)
+        check.assertTrue(reply.rate_limit is None or 0 <= reply.rate_limit < math.inf)
+
+
+@EXAMPLES
+@given(data=st.binary(max_size=200), at=st.integers(0, 60), size=st.integers(0, 4))
+def test_any_datagram_is_a_message_or_malformed(data, at, size):
+    sound = encode(Datagram(1, "vm-1", 7, news=PublishedNews(1, 2, 3, [WireItem("k", 2, b"v")])))
+    for variant in (data, sound[:at] + data[:size] + sound[at + size :]):
+        try:
+            check.assertIsInstance(decode_datagram(variant), Datagram)
+        except FrameError:
+            continue
+
+
+@FEW_EXAMPLES
+@given(seed=st.integers(0, 2**32))
+def test_no_datagram_ends_a_task_of_a_gateway(seed):
+    async def play() -> None:
+        rng = random.Random(seed)
+        fleet = GatewayFleet(2)
+        fleet.source.publish("op/config", make_config(1))
+        await fleet.start(1.0)
+        node = fleet.nodes[0]
+        sound = encode(
+            Datagram(1, "vm-2", 7, news=PublishedNews(1, 2, 3, [WireItem("k", 2, b"v")]))
+        )
+        for _ in range(20):
+            data = bytearray(sound)
+            for _ in range(rng.randint(1, 4)):
+                data[rng.randrange(len(data))] = rng.randrange(256)
+            node.port._receive("10.0.0.2:1", bytes(data))
+        await asyncio.sleep(1.0)
+        for tasks in (node._tasks, node.follower._tasks, node.prober._tasks):
+            check.assertEqual(0, tasks.failures)
+        await fleet.close()
+
+    run_virtual(play)
+
+
+@EXAMPLES
+@given(line=st.integers(0, SETTINGS.count("\n")), text=TEXTS)
+def test_any_settings_file_is_read_or_rejected_with_its_errors(line, text):
+    lines = SETTINGS.splitlines()
+    lines[line : line + 1] = [text]
+    try:
+        read_site_settings("\n".join(lines), "settings.toml")
+    except SettingsError as error:
+        check.assertTrue(error.problems)
+
+
+load_tests = make_load_tests(globals())
