Keep the tests of servers' words independent of the machine's load

Two of them could have failed on a busy machine: a pause of 0.8 s had to outlast twenty refusals, and hedges follow objectives of 150 ms. Pauses are 60 s now, objectives 9 s, and the return after a pause has a test of its own that waits as long as it is told.

--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import math
-import time
 from dataclasses import replace
 
 from bergamotgate.backend.http1 import RawReply
@@ -26,7 +25,7 @@
 LEAVING = ServerStatement(leaving=True)
 MAX_PAUSE_S = 60.0
 # A route that repeats requests to one pool: the sharded one without its shards.
-POOL_ROUTE = {"gather": None, "service": "desk"}
+POOL_ROUTE = {"gather": None, "service": "desk", "targetLatencyMs": 9000, "timeoutMs": 9000}
 
 
 def make_registry() -> ServerRegistry:
@@ -122,7 +121,7 @@
 async def test_paused_server_gets_nothing_while_others_serve_every_request():
     relay = RelayFixture()
     paused, *others = await add_desk(relay)
-    paused.pause = "6"
+    paused.pause = "60"
     answers = [await relay.send_request("/b/1", "POST", b"order") for _ in range(60)]
     check.assertEqual({200}, {answer.reply.status for answer in answers})
     check.assertLessEqual(len(paused.received_requests), 1)
@@ -157,7 +156,7 @@
 async def test_refusal_of_a_paused_server_leaves_the_tries_for_failures():
     relay = RelayFixture(**POOL_ROUTE, maxAttempts=2)
     replicas = await add_desk(relay)
-    replicas[0].pause, replicas[1].fault = "6", Fault.ERROR
+    replicas[0].pause, replicas[1].fault = "60", Fault.ERROR
     # Load from elsewhere lets them be chosen in this order.
     for number, replica in enumerate(replicas):
         for other in range(number):
@@ -173,22 +172,32 @@
     relay = RelayFixture()
     replicas = await add_desk(relay, 2)
     for replica in replicas:
-        replica.pause = "0.8"
+        replica.pause = "60"
     await relay.send_request("/b/1", "POST", b"order")
     asked = sum(len(replica.received_requests) for replica in replicas)
-    waits_s = []
+    waits_s = set()
     for _ in range(20):
-        started_at = time.monotonic()
         answer = await relay.send_request("/b/1", "POST", b"order")
         check.assertIsInstance(answer, FailedAnswer)
         check.assertIs(NotRunReason.SERVERS_PAUSED, answer.outcome.reason)
-        waits_s.append(answer.retry_after_s + time.monotonic() - started_at)
+        waits_s.add(round(answer.retry_after_s))
     check.assertEqual(asked, sum(len(replica.received_requests) for replica in replicas))
-    check.assertGreater(len(set(waits_s)), 10)
-    for replica in replicas:
-        replica.pause = None
-    await asyncio.sleep(answer.retry_after_s)
+    check.assertGreater(min(waits_s), 30)
+    check.assertGreater(len(waits_s), 5)
+    await relay.close()
+
+
+@real_time
+async def test_request_that_returns_when_it_was_told_is_served():
+    relay = RelayFixture()
+    (replica,) = await add_desk(relay, 1)
+    replica.pause = "0.3"
+    await relay.send_request("/b/1", "POST", b"order")
+    replica.pause = None
     answer = await relay.send_request("/b/1", "POST", b"order")
+    if isinstance(answer, FailedAnswer):
+        await asyncio.sleep(answer.retry_after_s)
+        answer = await relay.send_request("/b/1", "POST", b"order")
     check.assertEqual(200, answer.reply.status)
     await relay.close()
 
@@ -198,7 +207,7 @@
     relay = RelayFixture()
     replicas = await add_desk(relay)
     for replica in replicas:
-        replica.pause, replica.pause_runs = "6", True
+        replica.pause, replica.pause_runs = "60", True
     answer = await relay.send_request("/b/1", "POST", b"order")
     check.assertEqual(1, sum(replica.run_count for replica in replicas))
     check.assertIsInstance(answer.outcome, Unknown)
@@ -209,11 +218,11 @@
 
 @real_time
 async def test_query_avoids_paused_and_leaving_servers_of_its_shards():
-    relay = RelayFixture(targetLatencyMs=800)
+    relay = RelayFixture(targetLatencyMs=9000, timeoutMs=9000)
     shards = await make_shards(relay)
-    shards[0][0].pause, shards[1][0].leaving = "6", True
+    shards[0][0].pause, shards[1][0].leaving = "60", True
     for _ in range(10):
-        answer = await relay.send_request("/s/x")
+        answer = await relay.send_request("/s/x", client_timeout_s=9.0)
         check.assertIsInstance(answer, MergedAnswer)
         check.assertEqual(0, answer.missing)
     check.assertLessEqual(len(shards[0][0].received_requests), 1)
@@ -227,10 +236,10 @@
     shards = await make_shards(relay, 1)
     for (replica,) in shards[:2]:
         server = relay.registry.get(replica.server)
-        relay.registry.note_statement(server, ServerStatement(pause_s=9))
+        relay.registry.note_statement(server, ServerStatement(pause_s=60))
     answer = await relay.send_request("/s/x")
     check.assertIs(NotRunReason.SERVERS_PAUSED, answer.outcome.reason)
-    check.assertGreater(answer.retry_after_s, 8)
+    check.assertGreater(answer.retry_after_s, 30)
     check.assertEqual([], [r for r in relay.replicas if r.received_requests])
     await relay.close()
 
@@ -240,7 +249,7 @@
     vms = TwoVms()
     await vms.start()
     shards = await vms.add_shards("bb")
-    shards[0][0].pause, shards[1][0].leaving = "6", True
+    shards[0][0].pause, shards[1][0].leaving = "60", True
     for _ in range(10):
         answer = await vms.send_request("/s/x")
         check.assertEqual(0, answer.missing)
