Log a view that was never confirmed without failing its watch

A VM whose table came from peers or a reread and was not confirmed yet could log failures of a background task instead of its stale view: the age is infinite then, and was turned into whole milliseconds.

--- a/bergamotgate/gateway/staleness.py
+++ b/bergamotgate/gateway/staleness.py
@@ -1,5 +1,7 @@
 """Logs when the local view of the store becomes too old to be relied on."""
 
+import math
+
 from loguru import logger
 
 from bergamotgate.clock import milliseconds
@@ -26,7 +28,9 @@
         if (age_s > STALE_AFTER_S) is self._stale:
             return
         self._stale = not self._stale
-        fields = logger.bind(age_ms=milliseconds(age_s), revision=self._items.as_of)
+        # A table from peers that was never confirmed has no age.
+        age_ms = milliseconds(age_s) if age_s < math.inf else None
+        fields = logger.bind(age_ms=age_ms, revision=self._items.as_of)
         if self._stale:
             fields.warning("publication: The view of the store is stale.")
         else:
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -8,6 +8,7 @@
 
 from bergamotgate.clock import LoopClock
 from bergamotgate.errors import PlatformUnavailable
+from bergamotgate.gateway.staleness import StalenessLog
 from bergamotgate.publication import UNREAD, ItemTable, PublishedItem
 from bergamotgate.publication.follower import FULL_STEP_RANKS
 from tests.gateways import GatewayFleet, make_config, make_server
@@ -200,6 +201,20 @@
     check.assertEqual(3 * [stale] + 3 * [current], lines)
 
 
+@virtual_time
+async def test_view_that_was_never_confirmed_counts_as_stale():
+    """Guards against an infinite age, which ended the task that watches the view."""
+    lines: list[str] = []
+    logger.enable("bergamotgate")
+    sink_id = logger.add(lines.append, format="{message}", filter="bergamotgate.gateway.staleness")
+    table = ItemTable(LoopClock())
+    table.replace_all(5, [])
+    StalenessLog(table).check()
+    logger.remove(sink_id)
+    logger.disable("bergamotgate")
+    check.assertEqual(["publication: The view of the store is stale.\n"], lines)
+
+
 class RejectingSource:
     """Rejects the calls of one VM if `rejected`, and records the VM as a poller."""
 
