Reject replies of servers without a valid status line

What callers saw: a server in trouble answered a booking with status 000; its caller got "HTTP/1.1 0 Unknown" with the server's stamp and body, as an answer. Statuses 001 to 099 and 600 to 999 passed in the same way, and a reply that began with "HTTP/2.0 200 OK", "RTSP/1.0 200 OK" or with a control character in its status line passed as a success, also merged into searches and through a delegate.

Cause: the status line was whatever httptools takes, and its parser accepts any three digits, two other protocols, any reason phrase and empty lines in front. A status that is neither a success nor 5xx and bears a stamp is then forwarded unchanged.

Change: each head that arrives, informational ones too, must start with a status line as RFC 9112 has it and a status of 100 to 599; any other reply is malformed. A booking's caller then gets 502 (it may have run), and a request that may be repeated goes to another server. The log line of a malformed reply now quotes the start of its head; before, nothing told what the server had sent.

--- a/bergamotgate/backend/http1.py
+++ b/bergamotgate/backend/http1.py
@@ -1,8 +1,9 @@
 """An HTTP/1.1 client connection to a backend server for one exchange at a time.
 
-A reply is accepted only if its framing is complete. Data that arrives without an outstanding
-request or after a complete reply belongs to no request, so the connection is closed. A reply that
-exceeds the limits of its ``ReplyMemory`` ends the connection. This module never retries a request.
+A reply is accepted only if its status line is valid and its framing complete. Data that arrives
+without an outstanding request or after a complete reply belongs to no request, so the connection
+is closed. A reply that exceeds the limits of its ``ReplyMemory`` ends the connection. This module
+never retries a request.
 """
 
 import asyncio
@@ -11,8 +12,11 @@
 from enum import Enum, auto
 
 import httptools
+from loguru import logger
 
 from bergamotgate.backend.replymemory import ReplyLimits, ReplyMemory
+from bergamotgate.errors import MalformedHead
+from bergamotgate.wire.statusline import starts_with_status_line
 
 __all__ = ["ExchangeFailure", "Http1Connection", "RawReply"]
 
@@ -21,6 +25,7 @@
 DEFAULT_KEEP_ALIVE_S = 3.0
 INFORMATIONAL_STATUSES = range(100, 200)
 BODILESS_STATUSES = (204, 304)
+HEAD_END = b"\r\n\r\n"
 
 
 class ExchangeFailure(Enum):
@@ -66,12 +71,14 @@
         reusable_until: Time of the loop's clock until which another request may be sent.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, memory: ReplyMemory):
+    def __init__(self, loop: asyncio.AbstractEventLoop, memory: ReplyMemory, address: str):
         self._loop = loop
         self._memory = memory
+        self._address = address
         self._transport: asyncio.Transport | None = None
         self._on_end: OnEnd | None = None
         self._parser: httptools.HttpResponseParser | None = None
+        self._head = bytearray()  # as received, until it is complete
         self._head_bytes = 0
         self._body_bytes = 0
         self._keep_alive = False
@@ -133,14 +140,15 @@
             self._body_bytes += len(data)
         else:
             self._head_bytes += len(data)
+            self._head += data
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except httptools.HttpParserError as error:
             if self._complete:
                 self._keep_alive = False  # the error is in the bytes after the reply
                 self._finish()
             else:
-                self._end(ExchangeFailure.MALFORMED)
+                self._end_malformed(error)
             return
         if self._complete:
             self._keep_alive &= not more
@@ -150,6 +158,11 @@
         else:
             self._memory.hold(self, self._head_bytes + self._body_bytes)
 
+    def _end_malformed(self, error: httptools.HttpParserError) -> None:
+        cause = error.__context__ or error  # the context is what a callback of the parser raised
+        logger.info("backend: Malformed reply from {}: {}.", self._address, cause)
+        self._end(ExchangeFailure.MALFORMED)
+
     def _exceeds(self, limits: ReplyLimits) -> bool:
         if self._headers_complete:
             return self._body_bytes > limits.body_bytes
@@ -179,9 +192,15 @@
             self._headers.append(pair)
 
     def on_headers_complete(self) -> None:
-        """Store status and framing."""
+        """Store status and framing.
+
+        Raises:
+            MalformedHead: The status line is not valid; the parser accepts some that are not.
+        """
         if self._message_count != 1:
             return
+        if not starts_with_status_line(self._head):
+            raise MalformedHead(bytes(self._head))
         self._status = self._parser.get_status_code()
         self._keep_alive = self._parser.should_keep_alive()
         header_names = {name for name, _ in self._headers}
@@ -192,6 +211,8 @@
             or self._status in INFORMATIONAL_STATUSES
         )
         self._headers_complete = True
+        if self._status not in INFORMATIONAL_STATUSES:
+            self._head.clear()
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
@@ -203,6 +224,7 @@
         if self._message_count != 1:
             return
         if self._status in INFORMATIONAL_STATUSES:
+            del self._head[: self._head.index(HEAD_END) + len(HEAD_END)]
             self._reset_message()
             return
         self._complete = True
@@ -210,6 +232,7 @@
     def _begin_message(self) -> None:
         if self._parser is None:
             self._parser = httptools.HttpResponseParser(self)
+        self._head.clear()
         self._head_bytes = 0
         self._body_bytes = 0
         self._reset_message()
@@ -247,6 +270,7 @@
             return
         self.closed = True
         self._memory.release(self)
+        self._head = bytearray()
         self._body = bytearray()
         if self._transport is not None:
             self._transport.abort()
--- a/bergamotgate/backend/pool.py
+++ b/bergamotgate/backend/pool.py
@@ -157,7 +157,7 @@
         host, port = split_address(self._address)
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             transport, connection = await loop.create_connection(
-                lambda: Http1Connection(loop, self._memory), host, port
+                lambda: Http1Connection(loop, self._memory, self._address), host, port
             )
         self._metrics.connections.labels(self._pool, "opened").inc()
         tcp_socket = transport.get_extra_info("socket")
--- a/bergamotgate/errors.py
+++ b/bergamotgate/errors.py
@@ -11,6 +11,7 @@
     "ExchangeTimedOut",
     "FrameError",
     "LinkLost",
+    "MalformedHead",
     "PlatformUnavailable",
     "Problem",
     "SettingsError",
@@ -19,6 +20,9 @@
     "WrongReply",
 ]
 
+# Error messages quote no more of what was received.
+MAX_QUOTED_BYTES = 60
+
 
 @dataclass(frozen=True)
 class Problem:
@@ -121,6 +125,18 @@
         self.address = address
 
 
+class MalformedHead(BergamotgateError):
+    """The head of a reply is not valid HTTP.
+
+    Attributes:
+        head: Bytes of the head, truncated.
+    """
+
+    def __init__(self, head: bytes):
+        self.head = head[:MAX_QUOTED_BYTES]
+        super().__init__(f"{self.head!r} is not the head of a reply")
+
+
 class ExchangeError(BergamotgateError):
     """An exchange with a backend server gave no usable reply.
 
--- a/bergamotgate/standin/replica.py
+++ b/bergamotgate/standin/replica.py
@@ -38,6 +38,10 @@
         EXTRA_REPLY: Send the reply twice at once.
         DELAYED_EXTRA_REPLY: Send the reply again after ``FAULT_DELAY_S``.
         MALFORMED: Send bytes that are not HTTP.
+        STATUS_ZERO: Reply with status 000, which HTTP does not define.
+        STATUS_OUT_OF_RANGE: Reply with status 600, which HTTP does not define.
+        OTHER_PROTOCOL: Reply with the status line of another protocol.
+        CONTROL_IN_STATUS_LINE: Reply with a control character in the reason phrase.
         ENCODED: Declare a content encoding.
         UNSIGNED: Reply without the server stamp.
         OTHER_ATTEMPT: Reply with the identifier of another attempt.
@@ -61,6 +65,10 @@
     EXTRA_REPLY = auto()
     DELAYED_EXTRA_REPLY = auto()
     MALFORMED = auto()
+    STATUS_ZERO = auto()
+    STATUS_OUT_OF_RANGE = auto()
+    OTHER_PROTOCOL = auto()
+    CONTROL_IN_STATUS_LINE = auto()
     ENCODED = auto()
     UNSIGNED = auto()
     OTHER_ATTEMPT = auto()
@@ -73,6 +81,9 @@
 STATUS_BY_FAULT = {
     Fault.ERROR: "500 Internal Server Error",
     Fault.UNAVAILABLE_AFTER_RUN: "503 Service Unavailable",
+    Fault.STATUS_ZERO: "000 OK",
+    Fault.STATUS_OUT_OF_RANGE: "600 OK",
+    Fault.CONTROL_IN_STATUS_LINE: "200 O\x01K",
 }
 
 
@@ -237,6 +248,9 @@
             case Fault.MALFORMED:
                 writer.write(b"\x00\x01 this is no answer \r\n\r\n")
                 return True
+            case Fault.OTHER_PROTOCOL:
+                writer.write(response.replace(b"HTTP/1.1", b"RTSP/1.0", 1))
+                return True
             case Fault.EXTRA_REPLY:
                 writer.write(response + response)
                 return True
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -34,6 +34,37 @@
     "body without length": (OK_HEAD + b"\r\n", b"r" * BLOCK),
 }
 
+INFORMATIONAL_REPLY = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+VALID_STATUS_LINES = (
+    b"HTTP/1.1 200 OK",
+    b"HTTP/1.0 200 OK",
+    b"HTTP/1.1 200 ",
+    b"HTTP/1.1 200",
+    b"HTTP/1.1 599 \xe9t\xe9\t(?)",
+)
+BROKEN_STATUS_LINES = (
+    b"HTTP/1.1 000 OK",
+    b"HTTP/1.1 000",
+    b"HTTP/1.1 099 OK",
+    b"HTTP/1.1 600 OK",
+    b"HTTP/1.1 999 OK",
+    b"HTTP/1.1 20 OK",
+    b"HTTP/1.1 2000 OK",
+    b"HTTP/1.1 +20 OK",
+    b"HTTP/1.1  200 OK",
+    b"HTTP/1.1 200OK",
+    b"HTTP/1.1 200 O\x00K",
+    b"HTTP/1.1 200 O\x1bK",
+    b"HTTP/1.1 200 O\x7fK",
+    b"HTTP/0.9 200 OK",
+    b"HTTP/1.2 200 OK",
+    b"HTTP/2.0 200 OK",
+    b"http/1.1 200 OK",
+    b"RTSP/1.0 200 OK",
+    b"ICE/1.0 200 OK",
+    b"\r\nHTTP/1.1 200 OK",
+)
+
 
 class ByteServer:
     """A server that answers each request with the next reply, given as pieces of bytes.
@@ -223,6 +254,40 @@
             connections.close()
 
 
+async def first_result(pieces: list[bytes]) -> object:
+    """Returns the result of one exchange whose reply is given as pieces of bytes."""
+    results = []
+
+    async def run(connections: ServerConnections, metrics: Metrics) -> None:
+        results.append(await exchange(connections))
+
+    await with_server(ByteServer(iter([iter(pieces)])), run)
+    return results[0]
+
+
+@real_time
+async def test_a_reply_without_a_valid_status_line_is_malformed():
+    rest = b"\r\nContent-Length: 4\r\n\r\nbody"
+    for line in BROKEN_STATUS_LINES:
+        for start in (b"", INFORMATIONAL_REPLY, INFORMATIONAL_REPLY * 3):
+            result = await first_result([start + line + rest])
+            check.assertIs(ExchangeFailure.MALFORMED, result, start + line)
+        result = await first_result([b"HTTP/1.1 103" + line[12:] + b"\r\n\r\n", line + rest])
+        check.assertIs(ExchangeFailure.MALFORMED, result, line)
+
+
+@real_time
+async def test_a_reply_with_a_valid_status_line_is_taken_however_its_bytes_are_divided():
+    rest = b"\r\nContent-Length: 4\r\n\r\nbody"
+    for line in VALID_STATUS_LINES:
+        for start in (b"", INFORMATIONAL_REPLY, INFORMATIONAL_REPLY * 3):
+            reply = start + line + rest
+            for pieces in ([reply], [reply[n : n + 1] for n in range(len(reply))]):
+                result = await first_result(pieces)
+                check.assertIsInstance(result, RawReply, start + line)
+                check.assertEqual((int(line[9:12]), b"body"), (result.status, result.body))
+
+
 @real_time
 async def test_trailers_are_not_headers():
     reply = CHUNKED_HEAD + b"4\r\nbody\r\n0\r\nX-Late: 1\r\n\r\n"
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -9,6 +9,7 @@
 from bergamotgate.outcomes import Unknown, UnknownReason
 from bergamotgate.platform.ingress import Ingress
 from bergamotgate.relay.messages import FailedAnswer, MergedAnswer
+from bergamotgate.standin.replica import Fault
 from tests.support import check, make_load_tests, real_time
 from tests.test_relay import RelayFixture, make_shards
 
@@ -20,6 +21,13 @@
     b"X-Deadline-Ms: 90000\r\nContent-Length: 0\r\n\r\n"
 )
 
+BROKEN_HEADS = (
+    Fault.STATUS_ZERO,
+    Fault.STATUS_OUT_OF_RANGE,
+    Fault.OTHER_PROTOCOL,
+    Fault.CONTROL_IN_STATUS_LINE,
+)
+
 
 def free_address() -> str:
     with socket.socket() as probe:
@@ -257,4 +265,19 @@
         await ingress.drain(await deadline_in(0))
 
 
+@real_time
+async def test_reply_with_a_broken_head_reaches_no_client():
+    for fault in BROKEN_HEADS:
+        relay = RelayFixture()
+        server = await relay.add_server("desk", body=b"booked", fault=fault)
+        ingress = make_ingress(relay.handler)
+        answer = await send_raw(ingress.settings.front, BOOKING)
+        check.assertTrue(answer.startswith(b"HTTP/1.1 502 "), (fault, answer))
+        check.assertNotIn(b"x-server-stamp", answer.lower(), fault)
+        check.assertNotIn(b"booked", answer, fault)
+        check.assertEqual(1, server.run_count, fault)
+        await ingress.drain(await deadline_in(0))
+        await relay.close()
+
+
 load_tests = make_load_tests(globals())
