Test that replies with broken field names reach no client

Other operators saw answers in whose head the name of a field held a blank or a control byte reach clients, with that line passed on or with another body than the server's. Here it cannot happen where servers answer: the stand-in now sends such replies, among them one whose second length has a blank before its colon, to single requests, searches and delegates, and 17 kinds of such lines are tried as headers and as trailers.

--- a/bergamotgate/standin/replica.py
+++ b/bergamotgate/standin/replica.py
@@ -42,6 +42,9 @@
         STATUS_OUT_OF_RANGE: Reply with status 600, which HTTP does not define.
         OTHER_PROTOCOL: Reply with the status line of another protocol.
         CONTROL_IN_STATUS_LINE: Reply with a control character in the reason phrase.
+        BLANK_IN_FIELD_NAME: Reply with a space in the name of a header.
+        CONTROL_IN_FIELD_NAME: Reply with a control character in the name of a header.
+        BLANK_BEFORE_COLON: Reply with a shorter length whose name ends with a space.
         ENCODED: Declare a content encoding.
         UNSIGNED: Reply without the server stamp.
         OTHER_ATTEMPT: Reply with the identifier of another attempt.
@@ -69,6 +72,9 @@
     STATUS_OUT_OF_RANGE = auto()
     OTHER_PROTOCOL = auto()
     CONTROL_IN_STATUS_LINE = auto()
+    BLANK_IN_FIELD_NAME = auto()
+    CONTROL_IN_FIELD_NAME = auto()
+    BLANK_BEFORE_COLON = auto()
     ENCODED = auto()
     UNSIGNED = auto()
     OTHER_ATTEMPT = auto()
@@ -85,6 +91,12 @@
     Fault.STATUS_OUT_OF_RANGE: "600 OK",
     Fault.CONTROL_IN_STATUS_LINE: "200 O\x01K",
 }
+FIELD_BY_FAULT = {
+    Fault.BLANK_IN_FIELD_NAME: "X Odd: 1",
+    Fault.CONTROL_IN_FIELD_NAME: "X-\x01Odd: 1",
+    Fault.BLANK_BEFORE_COLON: "Content-Length : 1",
+    Fault.ENCODED: "Content-Encoding: gzip",
+}
 
 
 @dataclass(frozen=True)
@@ -218,8 +230,8 @@
         extra = "" if fault is Fault.NO_ATTEMPT else f"X-Attempt-Id: {echoed_attempt}\r\n"
         extra += "" if fault is Fault.UNSIGNED else stamp_header
         extra += self._statements()
-        if fault is Fault.ENCODED:
-            extra += "Content-Encoding: gzip\r\n"
+        if fault in FIELD_BY_FAULT:
+            extra += f"{FIELD_BY_FAULT[fault]}\r\n"
         status = STATUS_BY_FAULT.get(fault, "200 OK")
         response = _head(status, len(self.body), extra) + self.body
         unframed = f"HTTP/1.1 200 OK\r\n{extra}\r\n".encode() + self.body
--- a/tests/support.py
+++ b/tests/support.py
@@ -12,6 +12,49 @@
 check = unittest.TestCase()
 check.maxDiff = None
 
+# Each makes a reply over HTTP/1 invalid.
+BROKEN_STATUS_LINES = (
+    b"HTTP/1.1 000 OK",
+    b"HTTP/1.1 000",
+    b"HTTP/1.1 099 OK",
+    b"HTTP/1.1 600 OK",
+    b"HTTP/1.1 999 OK",
+    b"HTTP/1.1 20 OK",
+    b"HTTP/1.1 2000 OK",
+    b"HTTP/1.1 +20 OK",
+    b"HTTP/1.1  200 OK",
+    b"HTTP/1.1 200OK",
+    b"HTTP/1.1 200 O\x00K",
+    b"HTTP/1.1 200 O\x1bK",
+    b"HTTP/1.1 200 O\x7fK",
+    b"HTTP/0.9 200 OK",
+    b"HTTP/1.2 200 OK",
+    b"HTTP/2.0 200 OK",
+    b"http/1.1 200 OK",
+    b"RTSP/1.0 200 OK",
+    b"ICE/1.0 200 OK",
+    b"\r\nHTTP/1.1 200 OK",
+)
+BROKEN_FIELD_LINES = (
+    b"X Odd: 1",
+    b" X-Odd: 1",
+    b"X-Odd : 1",
+    b"X-Odd\t: 1",
+    b"Content-Length : 2",
+    b"Transfer-Encoding : chunked",
+    b"Content Length: 2",
+    b"X-\x00Odd: 1",
+    b"X-\x01Odd: 1",
+    b"X-\x7fOdd: 1",
+    b"X-\rOdd: 1",
+    b"X-(Odd): 1",
+    b": 1",
+    b"X-Odd",
+    b"X-Odd: \x001",
+    b"X-Odd: \x011",
+    b"X-Odd: \x7f1",
+)
+
 
 class _NamedCase(unittest.FunctionTestCase):
     """A test case identified by its function's module and name."""
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -9,7 +9,14 @@
 from bergamotgate.backend.pool import ServerConnections
 from bergamotgate.backend.replymemory import ReplyLimits, ReplyMemory
 from bergamotgate.metrics import Metrics
-from tests.support import check, make_load_tests, real_time, serve_bytes
+from tests.support import (
+    BROKEN_FIELD_LINES,
+    BROKEN_STATUS_LINES,
+    check,
+    make_load_tests,
+    real_time,
+    serve_bytes,
+)
 
 REQUEST = b"GET /s/q HTTP/1.1\r\nHost: x.example\r\n\r\n"
 LIMITS = ReplyLimits(head_bytes=16 * 1024, body_bytes=256 * 1024, total_bytes=1024 * 1024)
@@ -42,28 +49,6 @@
     b"HTTP/1.1 200",
     b"HTTP/1.1 599 \xe9t\xe9\t(?)",
 )
-BROKEN_STATUS_LINES = (
-    b"HTTP/1.1 000 OK",
-    b"HTTP/1.1 000",
-    b"HTTP/1.1 099 OK",
-    b"HTTP/1.1 600 OK",
-    b"HTTP/1.1 999 OK",
-    b"HTTP/1.1 20 OK",
-    b"HTTP/1.1 2000 OK",
-    b"HTTP/1.1 +20 OK",
-    b"HTTP/1.1  200 OK",
-    b"HTTP/1.1 200OK",
-    b"HTTP/1.1 200 O\x00K",
-    b"HTTP/1.1 200 O\x1bK",
-    b"HTTP/1.1 200 O\x7fK",
-    b"HTTP/0.9 200 OK",
-    b"HTTP/1.2 200 OK",
-    b"HTTP/2.0 200 OK",
-    b"http/1.1 200 OK",
-    b"RTSP/1.0 200 OK",
-    b"ICE/1.0 200 OK",
-    b"\r\nHTTP/1.1 200 OK",
-)
 
 
 class ByteServer:
@@ -288,6 +273,15 @@
                 check.assertEqual((int(line[9:12]), b"body"), (result.status, result.body))
 
 
+@real_time
+async def test_a_reply_with_a_broken_header_line_is_malformed():
+    for line in BROKEN_FIELD_LINES:
+        reply = OK_HEAD + line + b"\r\nContent-Length: 4\r\n\r\nbody"
+        check.assertIs(ExchangeFailure.MALFORMED, await first_result([reply]), line)
+        trailer = CHUNKED_HEAD + b"4\r\nbody\r\n0\r\n" + line + b"\r\n\r\n"
+        check.assertIs(ExchangeFailure.MALFORMED, await first_result([trailer]), line)
+
+
 @real_time
 async def test_trailers_are_not_headers():
     reply = CHUNKED_HEAD + b"4\r\nbody\r\n0\r\nX-Late: 1\r\n\r\n"
