Reject replies that libcurl reads past an invalid status line

Through libcurl a status of 600 to 999 reached the caller library, and on the path of owners "HTTP/1.1 2000", "200OK" and "HTTP/2.0 200" counted as a success: an answer to a caller, or a published configuration. 000 itself libcurl rejects, as it does what tornado finds wrong in names of fields.

Cause: libcurl reads three digits and no further, takes any status from 100, and the watch of the head looked only for its end.

Change: the watch of the head holds each head to the same status line as the connections to servers do, and the configuration service and the VM list are read with it as well. An owner reports such a reply as wrong (its request may have run), the caller library as no reply, the others as unavailable.

Evidence: test_reply_with_a_broken_head_is_no_reply and test_published_state_with_a_broken_head_is_not_used failed before (600, and 2000 from the configuration service); they pass now. The store is read by tornado's own client, which held: 000 and every broken name are failures of the store. It reads HTTP/1.2 and an empty line before the head, as HTTP allows.

--- a/bergamotgate/backend/curl.py
+++ b/bergamotgate/backend/curl.py
@@ -14,7 +14,13 @@
 from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
 
 from bergamotgate.backend.connection import BackendNotRunReason, BackendReply, BackendRequest
-from bergamotgate.errors import ConnectionDied, ConnectionRefused, ExchangeTimedOut, WrongReply
+from bergamotgate.errors import (
+    ConnectionDied,
+    ConnectionRefused,
+    ExchangeTimedOut,
+    MalformedHead,
+    WrongReply,
+)
 from bergamotgate.wire.curlhead import HeadWatch
 
 __all__ = ["CurlConnector", "MAX_REPLY_BYTES"]
@@ -87,8 +93,10 @@
             if error.response is None:
                 raise ConnectionDied(self._address, error) from error
             response = error.response
-        if not head.complete:
-            raise ConnectionDied(self._address, "closed within the head of the reply")
+        if isinstance(head.error, MalformedHead):
+            raise WrongReply(self._address, head.error)
+        if head.error is not None:
+            raise ConnectionDied(self._address, head.error)
         self.used = True
         return self._parse_reply(request, response)
 
--- a/bergamotgate/caller/transport.py
+++ b/bergamotgate/caller/transport.py
@@ -123,8 +123,8 @@
             response = await self._client.fetch(request, raise_error=False)
         except (HTTPError, OSError) as error:
             raise NoReply(address, error) from error
-        if not head.complete:
-            raise NoReply(address, "closed within the head of the reply")
+        if head.error is not None:
+            raise NoReply(address, head.error)
         return CallerReply(response.code, response.headers, response.body)
 
 
--- a/bergamotgate/config/http.py
+++ b/bergamotgate/config/http.py
@@ -9,6 +9,7 @@
 from bergamotgate.config.service import PublishedTables, PublishedVmList
 from bergamotgate.errors import PlatformUnavailable
 from bergamotgate.jsontext import read_json
+from bergamotgate.wire.curlhead import HeadWatch
 
 __all__ = ["HttpConfigurationService", "HttpVmListService"]
 
@@ -26,11 +27,17 @@
 
     async def get_json(self, query: str, timeout_s: float) -> dict[str, Any] | None:
         """Send a GET request and return the parsed JSON body, or None for no content."""
+        head = HeadWatch()
         request = HTTPRequest(
-            self._url + query, request_timeout=timeout_s, connect_timeout=READ_TIMEOUT_S
+            self._url + query,
+            request_timeout=timeout_s,
+            connect_timeout=READ_TIMEOUT_S,
+            header_callback=head,
         )
         try:
             response = await self._client.fetch(request)
+            if head.error is not None:
+                raise PlatformUnavailable(self._name, head.error)
             if response.code == HTTP_NO_CONTENT:
                 return None
             if len(response.body) > MAX_RESPONSE_BYTES:
--- a/bergamotgate/errors.py
+++ b/bergamotgate/errors.py
@@ -10,6 +10,7 @@
     "ConnectionRefused",
     "ExchangeTimedOut",
     "FrameError",
+    "IncompleteHead",
     "LinkLost",
     "MalformedHead",
     "PlatformUnavailable",
@@ -125,6 +126,13 @@
         self.address = address
 
 
+class IncompleteHead(BergamotgateError):
+    """A connection closed within the head of a reply."""
+
+    def __init__(self) -> None:
+        super().__init__("closed within the head of the reply")
+
+
 class MalformedHead(BergamotgateError):
     """The head of a reply is not valid HTTP.
 
--- a/bergamotgate/wire/curlhead.py
+++ b/bergamotgate/wire/curlhead.py
@@ -1,8 +1,12 @@
-"""Tells whether the head of a reply that libcurl read was complete.
+"""Tells whether the head of a reply that libcurl read was complete and valid.
 
-libcurl takes a connection that closes within the head for the end of a reply without a body.
+libcurl takes a connection that closes within the head for the end of a reply without a body. It
+takes the first three digits of a longer status, statuses above 599, and other versions of HTTP.
 """
 
+from bergamotgate.errors import BergamotgateError, IncompleteHead, MalformedHead
+from bergamotgate.wire.statusline import starts_with_status_line
+
 __all__ = ["HeadWatch"]
 
 
@@ -10,15 +14,21 @@
     """Header callback of one HTTP request.
 
     Attributes:
-        complete: Whether the head of the last reply ended with a blank line.
+        error: Why the reply cannot be used; None once its head is complete and valid.
     """
 
     def __init__(self) -> None:
-        self.complete = False
+        self.error: BergamotgateError | None = IncompleteHead()
 
     def __call__(self, line: str) -> None:
         """Process one line of the head; trailers of the body do not matter."""
+        if isinstance(self.error, MalformedHead):
+            return
         if line.startswith("HTTP/"):
-            self.complete = False  # an informational (1xx) reply may have come before
+            start = line.encode("latin-1")
+            # An informational (1xx) reply may have come before.
+            self.error = (
+                IncompleteHead() if starts_with_status_line(start) else MalformedHead(start)
+            )
         elif not line.strip("\r\n"):
-            self.complete = True
+            self.error = None
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -27,7 +27,14 @@
 )
 from bergamotgate.standin.store import StandInStore, StoreFault
 from tests.gateways import make_config, make_server
-from tests.support import check, make_load_tests, real_time, serve_bytes
+from tests.support import (
+    BROKEN_FIELD_LINES,
+    BROKEN_STATUS_LINES,
+    check,
+    make_load_tests,
+    real_time,
+    serve_bytes,
+)
 
 ROOT = Path(__file__).resolve().parents[1]
 NESTED_TOO_DEEPLY = b"[" * 100_000
@@ -302,4 +309,34 @@
                     await service(f"http://{address}/").watch(1, 0.1)
 
 
+# HTTP allows a lenient reading of a later minor version and of an empty line in front.
+LENIENT_FOR_STORE = (b"HTTP/1.2 200 OK", b"\r\nHTTP/1.1 200 OK")
+
+
+async def is_used(watch) -> bool:
+    """Returns whether an answer was taken for published state."""
+    try:
+        await watch(1, 0.1)
+    except PlatformUnavailable:
+        return False
+    return True
+
+
+@real_time
+async def test_published_state_with_a_broken_head_is_not_used():
+    state = {"asOf": 9, "events": [], "revision": 9, "routes": "", "pools": "", "vms": []}
+    body = json.dumps(state).encode()
+    fields = b"\r\nContent-Length: %d\r\n" % len(body)
+    sound = b"HTTP/1.1 200 OK" + fields
+    broken = [line + fields for line in BROKEN_STATUS_LINES]
+    broken += [sound + line + b"\r\n" for line in BROKEN_FIELD_LINES]
+    for head in (sound, *broken):
+        async with serve_bytes(head + b"\r\n" + body) as address:
+            read_by_store = head == sound or head.startswith(LENIENT_FOR_STORE)
+            check.assertEqual(read_by_store, await is_used(PlatformStore(address).changes), head)
+            for service in (HttpConfigurationService, HttpVmListService):
+                watch = service(f"http://{address}/").watch
+                check.assertEqual(head == sound, await is_used(watch), head)
+
+
 load_tests = make_load_tests(globals())
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -35,7 +35,15 @@
 from bergamotgate.standin.server import ServerLimits, StandinServer
 from bergamotgate.wire.generated.ttypes import Outcome
 from bergamotgate.wire.network import PortState, SocketNetwork
-from tests.support import check, make_deployment, make_load_tests, real_time, serve_bytes
+from tests.support import (
+    BROKEN_FIELD_LINES,
+    BROKEN_STATUS_LINES,
+    check,
+    make_deployment,
+    make_load_tests,
+    real_time,
+    serve_bytes,
+)
 
 SLOTS = 2
 CONNECTIONS = 25
@@ -126,6 +134,21 @@
                     await HttpTransport().fetch(address, message)
 
 
+@real_time
+async def test_reply_with_a_broken_head_is_no_reply():
+    fields = b"\r\nX-Request-Id: i\r\nX-Snapshot: s\r\nContent-Length: 4\r\n"
+    interim = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+    heads = [line + fields for line in BROKEN_STATUS_LINES]
+    heads += [b"HTTP/1.1 200 OK" + fields + line + b"\r\n" for line in BROKEN_FIELD_LINES]
+    heads += [interim.replace(b"1.1 103", b"1.1 1030") + b"HTTP/1.1 200 OK" + fields]
+    for head in [*heads, *(interim + head for head in heads)]:
+        async with serve_bytes(head + b"\r\nbody") as address:
+            with check.assertRaises((ConnectionDied, WrongReply), msg=head):
+                await CurlConnector().open(address).exchange(make_request())
+            with check.assertRaises(NoReply, msg=head):
+                await HttpTransport().fetch(address, CallerMessage("GET", "/", b"", {}, 5.0))
+
+
 @real_time
 async def test_server_crash_on_a_reused_connection_raises_connection_died():
     backend, address = make_backend()
