Report a store's answer whose head has no end as a failure of the store

What callers saw: nothing. A store that sent a head without end ended the task that follows it, which starts again after up to 2 s; the answer counted as no failure of the store, and the log showed an internal error.

Cause: tornado's client ends the read at 64 KiB with an exception that is neither one of its HTTP errors nor an OSError, and only these were turned into the typed failure.

Change: that exception is one as well.

--- a/bergamotgate/platform/store.py
+++ b/bergamotgate/platform/store.py
@@ -8,6 +8,7 @@
 from loguru import logger
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPResponse
 from tornado.httputil import url_concat
+from tornado.iostream import UnsatisfiableReadError
 from tornado.netutil import DefaultLoopResolver, is_valid_ip
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
@@ -104,7 +105,7 @@
                 request_timeout=timeout_s,
                 decompress_response=False,
             )
-        except (HTTPClientError, OSError) as error:
+        except (HTTPClientError, OSError, UnsatisfiableReadError) as error:
             raise PlatformUnavailable(SERVICE, error) from error
         return _object(response)
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -35,6 +35,7 @@
     real_time,
     serve_bytes,
 )
+from tests.test_http1 import ENDLESS_REPLIES, ByteServer, endless
 
 ROOT = Path(__file__).resolve().parents[1]
 NESTED_TOO_DEEPLY = b"[" * 100_000
@@ -339,4 +340,16 @@
                 check.assertEqual(head == sound, await is_used(watch), head)
 
 
+@real_time
+async def test_answer_of_the_store_without_end_is_a_failure_of_the_store():
+    most_sent = 40 * 1024 * 1024  # the limit of 32 MiB, and what the buffers of two sockets hold
+    for place, (start, block) in ENDLESS_REPLIES.items():
+        server = ByteServer(iter([endless(start, block)]))
+        store = PlatformStore(await server.start())
+        with check.assertRaises(PlatformUnavailable, msg=place):
+            await store.changes(1, 0.1)
+        check.assertLess(server.sent_bytes, most_sent, place)
+        await server.close()
+
+
 load_tests = make_load_tests(globals())
