Do not follow redirects of the store

What callers saw: nothing. A store in trouble that answers with a redirect made the VM read published state from whatever address the answer named; one to an address that is not HTTP ended the task that follows the store with an internal error.

Cause: tornado's client follows redirects by default, and raises ValueError for a location that it cannot use. The store's protocol has no redirects.

Change: a redirect is a failure of the store.

Evidence: test_redirect_is_a_failure_of_the_store failed before (the state of the other address was used) and passes now.

--- a/bergamotgate/platform/store.py
+++ b/bergamotgate/platform/store.py
@@ -104,6 +104,7 @@
                 connect_timeout=CONNECT_TIMEOUT_S,
                 request_timeout=timeout_s,
                 decompress_response=False,
+                follow_redirects=False,
             )
         except (HTTPClientError, OSError, UnsatisfiableReadError) as error:
             raise PlatformUnavailable(SERVICE, error) from error
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -340,6 +340,17 @@
                 check.assertEqual(head == sound, await is_used(watch), head)
 
 
+@real_time
+async def test_redirect_is_a_failure_of_the_store():
+    body = b'{"asOf": 9, "events": []}'
+    sound = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+    async with serve_bytes(sound) as other:
+        for location in (f"http://{other}/", "ftp://x/", "//", ""):
+            head = f"HTTP/1.1 302 Found\r\nLocation: {location}\r\nContent-Length: 0\r\n\r\n"
+            async with serve_bytes(head.encode()) as address:
+                check.assertFalse(await is_used(PlatformStore(address).changes), location)
+
+
 @real_time
 async def test_answer_of_the_store_without_end_is_a_failure_of_the_store():
     most_sent = 40 * 1024 * 1024  # the limit of 32 MiB, and what the buffers of two sockets hold
