Stop reading published tables at their size limit

What callers saw: nothing yet. A configuration service or a VM list that sends a body without end was read up to 100 MiB, the default of tornado's client, and a small compressed one was unpacked as far; only then was the limit of 4 MiB checked. With two services, and a read beside each watch, a VM of 300 MB could run out of memory, and the requests of all its clients with it.

Cause: the limit was checked on the whole body, after it had been read.

Change: the limit is the client's own; it ends the transfer, and counts what a compressed body unpacks to.

--- a/bergamotgate/config/http.py
+++ b/bergamotgate/config/http.py
@@ -23,7 +23,9 @@
         self._url = url
         self._name = name
         # A waiting watch occupies one connection; reads must not queue behind it.
-        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=4)
+        self._client = CurlAsyncHTTPClient(
+            force_instance=True, max_clients=4, max_body_size=MAX_RESPONSE_BYTES
+        )
 
     async def get_json(self, query: str, timeout_s: float) -> dict[str, Any] | None:
         """Send a GET request and return the parsed JSON body, or None for no content."""
@@ -40,10 +42,6 @@
                 raise PlatformUnavailable(self._name, head.error)
             if response.code == HTTP_NO_CONTENT:
                 return None
-            if len(response.body) > MAX_RESPONSE_BYTES:
-                raise PlatformUnavailable(
-                    self._name, f"response of {len(response.body)} bytes is too long"
-                )
             return read_json(response.body)
         except (HTTPError, OSError, ValueError) as error:
             raise PlatformUnavailable(self._name, error) from error
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,10 +1,12 @@
 """Tests for the platform adapter: store, registrations, configuration and settings file."""
 
 import asyncio
+import gzip
 import json
 import random
 import threading
 import tomllib
+import tracemalloc
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
@@ -363,4 +365,31 @@
         await server.close()
 
 
+@real_time
+async def test_published_tables_without_end_are_not_read_beyond_their_limit():
+    most_sent = 16 * 1024 * 1024  # the limit of 4 MiB, and what the buffers of two sockets hold
+    for service in (HttpConfigurationService, HttpVmListService):
+        for place in ("body with length", "body without length"):
+            server = ByteServer(iter([endless(*ENDLESS_REPLIES[place])]))
+            source = service(f"http://{await server.start()}/")
+            with check.assertRaises(PlatformUnavailable, msg=place):
+                await source.read()
+            check.assertLess(server.sent_bytes, most_sent, place)
+            await server.close()
+
+
+@real_time
+async def test_compressed_tables_are_limited_by_their_full_size():
+    body = gzip.compress(b" " * 64 * 1024 * 1024)
+    head = b"HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: %d\r\n\r\n" % len(body)
+    async with serve_bytes(head + body) as address:
+        source = HttpConfigurationService(f"http://{address}/")
+        tracemalloc.start()
+        with check.assertRaises(PlatformUnavailable):
+            await source.read()
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+    check.assertLess(peak_bytes, 16 * 1024 * 1024)
+
+
 load_tests = make_load_tests(globals())
