Reject replies whose body has an unknown transfer coding

What callers saw: a server's reply with "Transfer-Encoding: gzip, chunked" reached its client as a success whose body was still coded, without the header that said so: another body than the server's. The same held for parts of searches and through a delegate.

Cause: the parser joins chunks if they are the last coding and leaves the others to its caller, which dropped the header.

Change: the connection, which implements chunks only, takes no other coding; the reply is malformed. It asks for none, so a server may not use one.

--- a/bergamotgate/backend/http1.py
+++ b/bergamotgate/backend/http1.py
@@ -15,7 +15,7 @@
 from loguru import logger
 
 from bergamotgate.backend.replymemory import ReplyLimits, ReplyMemory
-from bergamotgate.errors import MalformedHead
+from bergamotgate.errors import MalformedHead, UnknownTransferCoding
 from bergamotgate.wire.statusline import starts_with_status_line
 
 __all__ = ["ExchangeFailure", "Http1Connection", "RawReply"]
@@ -196,6 +196,7 @@
 
         Raises:
             MalformedHead: The status line is not valid; the parser accepts some that are not.
+            UnknownTransferCoding: The body has a transfer coding beside or instead of chunks.
         """
         if self._message_count != 1:
             return
@@ -204,6 +205,8 @@
         self._status = self._parser.get_status_code()
         self._keep_alive = self._parser.should_keep_alive()
         header_names = {name for name, _ in self._headers}
+        if "transfer-encoding" in header_names:
+            self._check_transfer_coding()
         self._framed = (
             "content-length" in header_names
             or "transfer-encoding" in header_names
@@ -214,6 +217,12 @@
         if self._status not in INFORMATIONAL_STATUSES:
             self._head.clear()
 
+    def _check_transfer_coding(self) -> None:
+        """Raise if the body is not what remains once its chunks are joined."""
+        codings = ", ".join(value for name, value in self._headers if name == "transfer-encoding")
+        if codings.strip().lower() != "chunked":
+            raise UnknownTransferCoding(codings)
+
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
         if self._message_count == 1:
--- a/bergamotgate/errors.py
+++ b/bergamotgate/errors.py
@@ -17,6 +17,7 @@
     "Problem",
     "SettingsError",
     "TablesRejected",
+    "UnknownTransferCoding",
     "VmListRejected",
     "WrongReply",
 ]
@@ -145,6 +146,18 @@
         super().__init__(f"{self.head!r} is not the head of a reply")
 
 
+class UnknownTransferCoding(BergamotgateError):
+    """The body of a reply is transferred in another coding than chunks.
+
+    Attributes:
+        codings: Values of Transfer-Encoding, truncated.
+    """
+
+    def __init__(self, codings: str):
+        self.codings = codings[:MAX_QUOTED_BYTES]
+        super().__init__(f"unknown transfer coding {self.codings!r}")
+
+
 class ExchangeError(BergamotgateError):
     """An exchange with a backend server gave no usable reply.
 
--- a/bergamotgate/standin/replica.py
+++ b/bergamotgate/standin/replica.py
@@ -45,6 +45,7 @@
         BLANK_IN_FIELD_NAME: Reply with a space in the name of a header.
         CONTROL_IN_FIELD_NAME: Reply with a control character in the name of a header.
         BLANK_BEFORE_COLON: Reply with a shorter length whose name ends with a space.
+        TRANSFER_CODED: Reply in one chunk with another transfer coding declared below it.
         ENCODED: Declare a content encoding.
         UNSIGNED: Reply without the server stamp.
         OTHER_ATTEMPT: Reply with the identifier of another attempt.
@@ -75,6 +76,7 @@
     BLANK_IN_FIELD_NAME = auto()
     CONTROL_IN_FIELD_NAME = auto()
     BLANK_BEFORE_COLON = auto()
+    TRANSFER_CODED = auto()
     ENCODED = auto()
     UNSIGNED = auto()
     OTHER_ATTEMPT = auto()
@@ -263,6 +265,11 @@
             case Fault.OTHER_PROTOCOL:
                 writer.write(response.replace(b"HTTP/1.1", b"RTSP/1.0", 1))
                 return True
+            case Fault.TRANSFER_CODED:
+                coded = f"HTTP/1.1 200 OK\r\n{extra}Transfer-Encoding: gzip, chunked\r\n\r\n"
+                chunk = f"{len(self.body):x}\r\n".encode() + self.body + b"\r\n0\r\n\r\n"
+                writer.write(coded.encode() + chunk)
+                return True
             case Fault.EXTRA_REPLY:
                 writer.write(response + response)
                 return True
--- a/tests/test_delegate.py
+++ b/tests/test_delegate.py
@@ -188,6 +188,7 @@
         Fault.BLANK_IN_FIELD_NAME,
         Fault.CONTROL_IN_FIELD_NAME,
         Fault.BLANK_BEFORE_COLON,
+        Fault.TRANSFER_CODED,
         Fault.HEAD_CUT,
         Fault.TRUNCATED,
         Fault.UNSIGNED,
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -282,6 +282,30 @@
         check.assertIs(ExchangeFailure.MALFORMED, await first_result([trailer]), line)
 
 
+@real_time
+async def test_only_a_body_in_chunks_or_with_a_length_is_understood():
+    chunks = b"4\r\nbody\r\n0\r\n\r\n"
+    for codings in (b"chunked", b"Chunked "):
+        result = await first_result(
+            [OK_HEAD + b"Transfer-Encoding: " + codings + b"\r\n\r\n" + chunks]
+        )
+        check.assertEqual(b"body", getattr(result, "body", result), codings)
+    for fields in (
+        b"Transfer-Encoding: gzip, chunked",
+        b"Transfer-Encoding: chunked, chunked",
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        b"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+        b"Transfer-Encoding: xchunked",
+        b"Transfer-Encoding: identity",
+        b"Content-Length: 4, 4",
+        b"Content-Length: +4",
+        b"Content-Length: 4\r\nContent-Length: 4",
+        b"Content-Length: 4\r\nTransfer-Encoding: chunked",
+    ):
+        result = await first_result([OK_HEAD + fields + b"\r\n\r\n" + chunks])
+        check.assertIs(ExchangeFailure.MALFORMED, result, fields)
+
+
 @real_time
 async def test_trailers_are_not_headers():
     reply = CHUNKED_HEAD + b"4\r\nbody\r\n0\r\nX-Late: 1\r\n\r\n"
