Reject replies that contradict themselves in their head

What callers saw: a server's reply with two identifiers of attempts, two stamps or two content encodings reached its client as an answer if the last of the two was right, and with both lines passed on.

Cause: the headers that decide whether a reply is taken were read from a mapping, which keeps the last of a name.

Change: such a header that comes twice makes the reply a wrong one, counted as repeated_field.

Evidence: test_reply_with_a_broken_head_reaches_no_client and three tests on searches, bookings and delegates failed before (TWO_ENCODINGS first: b'...Content-Encoding: gzip\r\nContent-Encoding: identity\r\n...booked'); they pass now, as do TWO_STAMPS and TWO_ATTEMPTS.

--- a/bergamotgate/platform/replicacodec.py
+++ b/bergamotgate/platform/replicacodec.py
@@ -20,6 +20,9 @@
 SERVER_LIMIT = names.SERVER_LIMIT.lower()
 SERVER_LEAVING = names.SERVER_LEAVING.lower()
 RETRY_AFTER = names.RETRY_AFTER.lower()
+CONTENT_ENCODING = "content-encoding"
+# Headers that decide whether a reply is taken; one of them that comes twice contradicts itself.
+SINGLE_HEADERS = (ATTEMPT_ID, SERVER_STAMP, CONTENT_ENCODING)
 UNAVAILABLE = 503
 LEAVING = "1"
 
@@ -47,12 +50,14 @@
     def decode(self, request: ClientRequest, raw: RawReply) -> ServerReply | WrongReplyReason:
         """Decode a reply, or return why it does not belong to the request."""
         header_by_name = dict(raw.headers)
+        if len(header_by_name) < len(raw.headers) and _has_repeated_header(raw):
+            return WrongReplyReason.REPEATED_FIELD
         echoed = header_by_name.get(ATTEMPT_ID)
         if echoed is None:
             return WrongReplyReason.NO_ATTEMPT
         if echoed != request.attempt:
             return WrongReplyReason.OTHER_ATTEMPT
-        if header_by_name.get("content-encoding", "identity") != "identity":
+        if header_by_name.get(CONTENT_ENCODING, "identity") != "identity":
             return WrongReplyReason.ENCODED
         digest = header_by_name.get(SERVER_STAMP)
         not_run = NOT_EXECUTED in header_by_name or raw.status == MISDIRECTED
@@ -70,6 +75,11 @@
         )
 
 
+def _has_repeated_header(raw: RawReply) -> bool:
+    names_received = [name for name, _ in raw.headers]
+    return any(names_received.count(name) > 1 for name in SINGLE_HEADERS)
+
+
 def _statement(raw: RawReply, header_by_name: dict[str, str]) -> ServerStatement:
     """What a reply says of its server; nothing if another server has its address now."""
     if raw.status == MISDIRECTED:
--- a/bergamotgate/relay/messages.py
+++ b/bergamotgate/relay/messages.py
@@ -123,6 +123,7 @@
     NO_ATTEMPT = "no_attempt"
     ENCODED = "encoded"
     UNSIGNED = "unsigned"
+    REPEATED_FIELD = "repeated_field"
 
 
 class SendFailure(StrEnum):
--- a/bergamotgate/standin/replica.py
+++ b/bergamotgate/standin/replica.py
@@ -47,8 +47,11 @@
         BLANK_BEFORE_COLON: Reply with a shorter length whose name ends with a space.
         TRANSFER_CODED: Reply in one chunk with another transfer coding declared below it.
         ENCODED: Declare a content encoding.
+        TWO_ENCODINGS: Declare a content encoding, then that there is none.
         UNSIGNED: Reply without the server stamp.
+        TWO_STAMPS: Reply with a second server stamp.
         OTHER_ATTEMPT: Reply with the identifier of another attempt.
+        TWO_ATTEMPTS: Reply with the identifier of another attempt, then with the right one.
         NO_ATTEMPT: Reply without the identifier of the attempt.
         NO_REPLY: Keep the connection open without a reply.
         ENDLESS_HEAD: Send a header without end until the client closes.
@@ -78,8 +81,11 @@
     BLANK_BEFORE_COLON = auto()
     TRANSFER_CODED = auto()
     ENCODED = auto()
+    TWO_ENCODINGS = auto()
     UNSIGNED = auto()
+    TWO_STAMPS = auto()
     OTHER_ATTEMPT = auto()
+    TWO_ATTEMPTS = auto()
     NO_ATTEMPT = auto()
     NO_REPLY = auto()
     ENDLESS_HEAD = auto()
@@ -98,6 +104,8 @@
     Fault.CONTROL_IN_FIELD_NAME: "X-\x01Odd: 1",
     Fault.BLANK_BEFORE_COLON: "Content-Length : 1",
     Fault.ENCODED: "Content-Encoding: gzip",
+    Fault.TWO_ENCODINGS: "Content-Encoding: gzip\r\nContent-Encoding: identity",
+    Fault.TWO_STAMPS: "X-Server-Stamp: i-9.another",
 }
 
 
@@ -229,7 +237,8 @@
         attempt = request.headers.get("x-attempt-id", "")
         echoed_attempt = "somebody-else" if fault is Fault.OTHER_ATTEMPT else attempt
         stamp_header = f"X-Server-Stamp: {self.server}.{attempt}\r\n"
-        extra = "" if fault is Fault.NO_ATTEMPT else f"X-Attempt-Id: {echoed_attempt}\r\n"
+        extra = "X-Attempt-Id: somebody-else\r\n" if fault is Fault.TWO_ATTEMPTS else ""
+        extra += "" if fault is Fault.NO_ATTEMPT else f"X-Attempt-Id: {echoed_attempt}\r\n"
         extra += "" if fault is Fault.UNSIGNED else stamp_header
         extra += self._statements()
         if fault in FIELD_BY_FAULT:
--- a/tests/test_delegate.py
+++ b/tests/test_delegate.py
@@ -192,6 +192,9 @@
         Fault.HEAD_CUT,
         Fault.TRUNCATED,
         Fault.UNSIGNED,
+        Fault.TWO_ENCODINGS,
+        Fault.TWO_STAMPS,
+        Fault.TWO_ATTEMPTS,
         Fault.ERROR,
     ):
         vms = TwoVms(maxAttempts=1, minShardShare=1.0)
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -30,6 +30,9 @@
     Fault.CONTROL_IN_FIELD_NAME,
     Fault.BLANK_BEFORE_COLON,
     Fault.TRANSFER_CODED,
+    Fault.TWO_ENCODINGS,
+    Fault.TWO_STAMPS,
+    Fault.TWO_ATTEMPTS,
 )
 
 
