Reject replies whose stamp is empty or a list

What callers saw: a booking's caller could get a success with an empty stamp, and a search an answer whose list of stamps held an empty entry or one that belongs to no part, which makes the whole answer wrong.

Cause: a reply counted as signed if it had a stamp header at all.

Change: a stamp is visible ASCII without a comma, as the list of stamps in an answer needs it; a reply with another one is unsigned.

Evidence: test_reply_with_a_broken_head_reaches_no_client (b'HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Stamp: \r\n...booked') and three tests on searches, bookings and delegates failed before; they pass now. test_wrong_reply_is_never_merged_and_the_shard_is_retried looked only for the stamps of the server with the fault and now wants each to be a server's.

--- a/bergamotgate/platform/replicacodec.py
+++ b/bergamotgate/platform/replicacodec.py
@@ -1,6 +1,7 @@
 """Encodes sub-requests to the platform's backend servers and decodes their replies."""
 
 import math
+import re
 
 from loguru import logger
 
@@ -23,6 +24,9 @@
 CONTENT_ENCODING = "content-encoding"
 # Headers that decide whether a reply is taken; one of them that comes twice contradicts itself.
 SINGLE_HEADERS = (ATTEMPT_ID, SERVER_STAMP, CONTENT_ENCODING)
+# The stamps of merged replies are joined by commas: one that is empty, or holds a comma or a space,
+# would make the whole answer wrong.
+STAMP = re.compile(r"[\x21-\x2b\x2d-\x7e]+")
 UNAVAILABLE = 503
 LEAVING = "1"
 
@@ -60,6 +64,8 @@
         if header_by_name.get(CONTENT_ENCODING, "identity") != "identity":
             return WrongReplyReason.ENCODED
         digest = header_by_name.get(SERVER_STAMP)
+        if digest is not None and not STAMP.fullmatch(digest):
+            return WrongReplyReason.UNSIGNED
         not_run = NOT_EXECUTED in header_by_name or raw.status == MISDIRECTED
         if 200 <= raw.status < 300 and digest is None:
             return WrongReplyReason.UNSIGNED
--- a/bergamotgate/standin/replica.py
+++ b/bergamotgate/standin/replica.py
@@ -49,6 +49,8 @@
         ENCODED: Declare a content encoding.
         TWO_ENCODINGS: Declare a content encoding, then that there is none.
         UNSIGNED: Reply without the server stamp.
+        EMPTY_STAMP: Reply with an empty server stamp.
+        LISTED_STAMP: Reply with a server stamp that is a list of two.
         TWO_STAMPS: Reply with a second server stamp.
         OTHER_ATTEMPT: Reply with the identifier of another attempt.
         TWO_ATTEMPTS: Reply with the identifier of another attempt, then with the right one.
@@ -83,6 +85,8 @@
     ENCODED = auto()
     TWO_ENCODINGS = auto()
     UNSIGNED = auto()
+    EMPTY_STAMP = auto()
+    LISTED_STAMP = auto()
     TWO_STAMPS = auto()
     OTHER_ATTEMPT = auto()
     TWO_ATTEMPTS = auto()
@@ -99,6 +103,7 @@
     Fault.STATUS_OUT_OF_RANGE: "600 OK",
     Fault.CONTROL_IN_STATUS_LINE: "200 O\x01K",
 }
+STAMP_BY_FAULT = {Fault.EMPTY_STAMP: "", Fault.LISTED_STAMP: "i-8.another, i-9.another"}
 FIELD_BY_FAULT = {
     Fault.BLANK_IN_FIELD_NAME: "X Odd: 1",
     Fault.CONTROL_IN_FIELD_NAME: "X-\x01Odd: 1",
@@ -236,10 +241,10 @@
     ) -> bool:
         attempt = request.headers.get("x-attempt-id", "")
         echoed_attempt = "somebody-else" if fault is Fault.OTHER_ATTEMPT else attempt
-        stamp_header = f"X-Server-Stamp: {self.server}.{attempt}\r\n"
+        stamp = STAMP_BY_FAULT.get(fault, f"{self.server}.{attempt}")
         extra = "X-Attempt-Id: somebody-else\r\n" if fault is Fault.TWO_ATTEMPTS else ""
         extra += "" if fault is Fault.NO_ATTEMPT else f"X-Attempt-Id: {echoed_attempt}\r\n"
-        extra += "" if fault is Fault.UNSIGNED else stamp_header
+        extra += "" if fault is Fault.UNSIGNED else f"X-Server-Stamp: {stamp}\r\n"
         extra += self._statements()
         if fault in FIELD_BY_FAULT:
             extra += f"{FIELD_BY_FAULT[fault]}\r\n"
--- a/tests/test_delegate.py
+++ b/tests/test_delegate.py
@@ -193,6 +193,8 @@
         Fault.TRUNCATED,
         Fault.UNSIGNED,
         Fault.TWO_ENCODINGS,
+        Fault.EMPTY_STAMP,
+        Fault.LISTED_STAMP,
         Fault.TWO_STAMPS,
         Fault.TWO_ATTEMPTS,
         Fault.ERROR,
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -31,6 +31,8 @@
     Fault.BLANK_BEFORE_COLON,
     Fault.TRANSFER_CODED,
     Fault.TWO_ENCODINGS,
+    Fault.EMPTY_STAMP,
+    Fault.LISTED_STAMP,
     Fault.TWO_STAMPS,
     Fault.TWO_ATTEMPTS,
 )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -49,6 +49,8 @@
     Fault.ENCODED,
     Fault.UNSIGNED,
     Fault.TWO_ENCODINGS,
+    Fault.EMPTY_STAMP,
+    Fault.LISTED_STAMP,
     Fault.TWO_STAMPS,
     Fault.TWO_ATTEMPTS,
     Fault.OTHER_ATTEMPT,
@@ -241,6 +243,7 @@
         for _ in range(4):
             answer = await relay.send_request("/s/q")
             check.assertIsInstance(answer, MergedAnswer, fault)
+            check.assertTrue(all(d.startswith("i-") for d in answer.digests), fault)
             check.assertFalse([d for d in answer.digests if d.startswith("i-0.")], fault)
             check.assertEqual(3 - answer.missing, len(set(answer.digests)), fault)
         await relay.close()
