Do not fail a caller's request for an answer that no VM gives

What callers saw: nothing yet; found while the readers of replies were checked. In the caller library an answer to the request for addresses that is JSON of another shape, a redirect without an address, or a refusal whose fields have other types raised KeyError or TypeError from send, though the other VMs were never asked, and for a booking that may have run nothing said so.

Cause: fields of replies were used as they came.

Change: a list of VMs is checked before it is used, and another VM is asked for it; a redirect without an address is no reply; a refusal must name one of the two outcomes and a reason. Anything else is an unknown outcome.

Evidence: test_an_answer_that_is_no_list_of_vms_is_not_used (TypeError) and test_an_answer_that_no_vm_gives_is_an_unknown_outcome (KeyError: 'Location') failed before and pass now.

--- a/bergamotgate/caller/caller.py
+++ b/bergamotgate/caller/caller.py
@@ -1,10 +1,11 @@
 """Client that caches VM addresses, follows redirects and retries a request only where allowed."""
 
+import math
 import random
 import uuid
 from dataclasses import dataclass, replace
 from typing import Any
-from urllib.parse import urlsplit
+from urllib.parse import SplitResult, urlsplit
 
 from bergamotgate.caller.transport import (
     CallerMessage,
@@ -35,6 +36,7 @@
         "redirects",
     }
 )
+REFUSAL_OUTCOMES = frozenset({"not_run", "unknown"})
 UNANSWERED_REASONS = frozenset({"no_answer", "keeper_unasked", "vm_left"})
 KEEPER_FAILURE_REASONS = frozenset({"keeper_gone", "no_answer", "timed_out", "draining", "vm_left"})
 HTTP_OK = 200
@@ -107,11 +109,11 @@
             tried.append(address)
             try:
                 reply, _ = await self._fetch(address, self._addresses_request())
-                answer = read_json(reply.body)
-                if reply.status == HTTP_OK and answer["addresses"]:
-                    return answer
-            except (NoReply, ValueError, KeyError):
+            except NoReply:
                 continue
+            answer = _read_addresses(reply)
+            if answer is not None:
+                return answer
         raise NoAddress(tried)
 
     async def send(
@@ -180,7 +182,7 @@
             reply = await self._transport.fetch(address, message)
             if reply.status != HTTP_REDIRECT:
                 break
-            target = urlsplit(reply.headers["Location"])
+            target = _redirect_target(address, reply)
             address = target.netloc
             query = f"?{target.query}" if target.query else ""
             message = replace(message, path=target.path + query)
@@ -241,11 +243,46 @@
     return headers
 
 
+def _read_addresses(reply: CallerReply) -> dict[str, Any] | None:
+    """Return the list of VMs in a reply; None if the reply holds no such list or an empty one."""
+    if reply.status != HTTP_OK:
+        return None
+    try:
+        answer = read_json(reply.body)
+        usable = (
+            len(answer["addresses"]) > 0
+            and all(isinstance(entry["http"], str) for entry in answer["addresses"])
+            and isinstance(answer["token"], str | None)
+            and 0 <= answer["keep_s"] < math.inf
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
+    return answer if usable else None
+
+
+def _redirect_target(address: str, reply: CallerReply) -> SplitResult:
+    """Return the URL that a redirect names.
+
+    Raises:
+        NoReply: The redirect names no address.
+    """
+    try:
+        target = urlsplit(reply.headers.get("Location", ""))
+    except ValueError as error:
+        raise NoReply(address, error) from error
+    if not target.netloc:
+        raise NoReply(address, "redirect without an address")
+    return target
+
+
 def _parse_reply(reply: CallerReply, vm: str) -> CallerResult:
     try:
         fields = read_json(reply.body)
         if reply.status != HTTP_OK:
-            return CallerResult(False, fields["outcome"], fields["reason"], vm=vm)
+            outcome, reason = fields["outcome"], fields["reason"]
+            if outcome not in REFUSAL_OUTCOMES or not isinstance(reason, str):
+                raise ValueError("no refusal")
+            return CallerResult(False, outcome, reason, vm=vm)
         coverage = fields["coverage"]
         return CallerResult(
             answered=True,
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -4,7 +4,7 @@
 import random
 
 from bergamotgate.caller.caller import Caller
-from bergamotgate.caller.transport import CallerMessage, CallerReply, NoReply
+from bergamotgate.caller.transport import CallerMessage, CallerReply, NoAddress, NoReply
 from tests.support import check, make_load_tests, virtual_time
 
 VMS = ("10.0.0.1:1", "10.0.0.2:1")
@@ -63,4 +63,57 @@
     check.assertFalse(caller._is_avoided(VMS[0]))
 
 
+class BrokenFleet(FakeFleet):
+    """Answers requests, or those for addresses, with a reply that no VM gives."""
+
+    def __init__(self, reply: CallerReply, to_addresses: bool):
+        super().__init__(token=None)
+        self._reply = reply
+        self._to_addresses = to_addresses
+
+    async def fetch(self, address: str, message: CallerMessage) -> CallerReply:
+        if message.path.startswith("/-/addresses") == self._to_addresses:
+            return self._reply
+        return await super().fetch(address, message)
+
+
+BROKEN_BODIES = (
+    b"",
+    b"[]",
+    b"5",
+    b"null",
+    b'"text"',
+    b"{}",
+    b'{"addresses": 5, "token": null, "keep_s": 30}',
+    b'{"addresses": [], "token": null, "keep_s": 30}',
+    b'{"addresses": [5], "token": null, "keep_s": 30}',
+    b'{"addresses": [{"http": 5}], "token": null, "keep_s": 30}',
+    b'{"addresses": [{"http": "10.0.0.1:1"}], "token": 5, "keep_s": 30}',
+    b'{"addresses": [{"http": "10.0.0.1:1"}], "token": null, "keep_s": "30"}',
+    b'{"addresses": [{"http": "10.0.0.1:1"}], "token": null, "keep_s": NaN}',
+    b'{"addresses": [{"http": "10.0.0.1:1"}], "token": null}',
+    b'{"outcome": "not_run", "reason": []}',
+    b'{"outcome": "answered", "reason": "x"}',
+    b'{"outcome": [], "reason": "x"}',
+)
+
+
+@virtual_time
+async def test_an_answer_that_is_no_list_of_vms_is_not_used():
+    for body in BROKEN_BODIES:
+        caller = make_caller(BrokenFleet(CallerReply(200, {}, body), to_addresses=True))
+        with check.assertRaises(NoAddress, msg=body):
+            await caller.send("GET", "/s", b"")
+
+
+@virtual_time
+async def test_an_answer_that_no_vm_gives_is_an_unknown_outcome():
+    bodies = [CallerReply(status, {}, body) for status in (200, 503) for body in BROKEN_BODIES]
+    locations = [{}, {"Location": ""}, {"Location": "/path"}, {"Location": "http://[1"}]
+    for reply in [*bodies, *(CallerReply(307, headers, b"") for headers in locations)]:
+        caller = make_caller(BrokenFleet(reply, to_addresses=False))
+        result = await caller.send("POST", "/book", b"", once=True)
+        check.assertEqual("unknown", result.outcome, reply)
+
+
 load_tests = make_load_tests(globals())
