--- a/bergamotgate/standin/soakcaller.py
+++ b/bergamotgate/standin/soakcaller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import re
 from collections import Counter
 from collections.abc import Collection
 from dataclasses import dataclass
@@ -21,6 +22,10 @@
 RATE_SETTLE_S = 4.0
 RATE_FACTOR = 1.5
 RATE_EXTRA = 5
+# The head of an answer by RFC 9110 and 9112; statuses of 1xx are never asked for.
+_TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+_TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
+HEAD = re.compile(rb"HTTP/1\.1 [2-5][0-9]{2} %b\r\n(?:%b:%b\r\n)+\r\n" % (_TEXT, _TOKEN, _TEXT))
 
 
 @dataclass(frozen=True)
@@ -34,6 +39,7 @@
         digests: Stamps of the answer's parts or of its server, as ``server.attempt``.
         missing: Number of missing shards that the answer reports.
         body: Body of the answer.
+        broken: Whether what arrived is no answer.
     """
 
     attempt: str
@@ -42,6 +48,7 @@
     digests: tuple[str, ...] = ()
     missing: int = 0
     body: bytes = b""
+    broken: bool = False
 
     @property
     def outcome(self) -> str:
@@ -99,7 +106,11 @@
         return self._connection
 
     async def _read(self, reader: asyncio.StreamReader, attempt: str, booking: bool) -> Call:
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        received = await reader.readuntil(b"\r\n\r\n")
+        if not HEAD.fullmatch(received):
+            self._close_connection()
+            return Call(attempt, booking, 0, broken=True)
+        head = received.decode("latin-1").split("\r\n")
         pairs = (line.partition(":") for line in head[1:] if line)
         headers = {name.lower(): value.strip() for name, _, value in pairs}
         body = await reader.readexactly(int(headers["content-length"]))
@@ -139,6 +150,8 @@
         if attempt not in sent_attempts
     ]
     for call in calls:
+        if call.broken:
+            violations.append(f"{call.attempt} received bytes that are no answer")
         if call.booking and runs[call.attempt] > 1:
             violations.append(f"booking {call.attempt} ran {runs[call.attempt]} times")
         if call.booking and call.status in NOT_RUN_STATUSES and runs[call.attempt]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,14 +1,15 @@
 """Runs a short soak with real processes, and tests that its checks detect violations."""
 
 import asyncio
+import random
 import tempfile
 from pathlib import Path
 
 from bergamotgate.standin.replica import ReceivedRequest, StandInReplica
 from bergamotgate.standin.soak import Soak
-from bergamotgate.standin.soakcaller import Call, check_calls, check_rate
+from bergamotgate.standin.soakcaller import Call, SoakCaller, check_calls, check_rate
 from bergamotgate.standin.soakviews import check_statements
-from tests.support import check, make_load_tests, virtual_time
+from tests.support import check, make_load_tests, real_time, serve_bytes, virtual_time
 
 SEED = 7
 FAULT_DURATION_S = 4.0
@@ -42,11 +43,28 @@
         make_search(digests=("i-0.a", "i-0.a", "i-2.a")),
         make_search(digests=("i-0.b", "i-1.a", "i-2.a")),
         make_search(body=b"x" * 48),
+        make_search(status=0, broken=True),
     )
     for call in faults:
         check.assertTrue(check_calls([call], make_replicas(), 4), call)
 
 
+@real_time
+async def test_caller_takes_only_what_is_an_answer():
+    sound = b"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n"
+    broken = (sound.replace(b"502", b"0"), sound.replace(b"502", b"000"))
+    broken += (sound.replace(b"Content", b"X Odd: 1\r\nContent"), sound.replace(b"B", b"\x01"))
+    for answer in (sound, *broken):
+        async with serve_bytes(answer) as front:
+            caller = SoakCaller(0, [front], random.Random(1))
+            running = asyncio.ensure_future(caller.run())
+            while not caller.calls:
+                await asyncio.sleep(0.01)
+            caller.stop()
+            await running
+        check.assertEqual(answer != sound, caller.calls[0].broken, answer)
+
+
 def test_booking_run_twice_or_after_a_refusal_is_detected():
     for status, ran in ((502, ["a", "a"]), (503, ["a"]), (429, ["a"])):
         replicas = make_replicas()
