Reject replies that switch protocols

What callers saw: a reply with status 101 that a server sent unasked was, if it named a protocol, a fatal error of the connection's protocol in asyncio: a lost connection, counted as a request that crashed the server, twice of which refuses the request everywhere. Through libcurl 101 was a final answer: a failure of the server for an owner, an answer for the caller library. Found while the readers of replies were checked.

Cause: httptools raises another kind of exception for it than for what is malformed; libcurl ends a reply there.

Change: 101 answers only a request to switch protocols, which is never sent, so it is no valid status.

--- a/tests/support.py
+++ b/tests/support.py
@@ -17,6 +17,8 @@
     b"HTTP/1.1 000 OK",
     b"HTTP/1.1 000",
     b"HTTP/1.1 099 OK",
+    b"HTTP/1.1 101 Switching Protocols",
+    b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x",
     b"HTTP/1.1 600 OK",
     b"HTTP/1.1 999 OK",
     b"HTTP/1.1 20 OK",
