State no length in answers that have no body by their status

What callers saw: a server's 204 or 304 was passed on with "Content-Length: 0". HTTP forbids a length with 204, and with 304 it states that of the representation, which is not empty. A client that holds answers to the grammar would take it for a broken one.

Cause: the length of the body was added to every answer.

Change: it is left out for these two.

Evidence: test_answer_that_has_no_body_by_its_status_states_no_length failed before (b'http/1.1 204 no content\r\n...content-length: 0') and passes now, with two answers on one connection.

--- a/bergamotgate/backend/http1.py
+++ b/bergamotgate/backend/http1.py
@@ -18,7 +18,7 @@
 from bergamotgate.errors import MalformedHead, UnknownTransferCoding
 from bergamotgate.wire.statusline import starts_with_status_line
 
-__all__ = ["ExchangeFailure", "Http1Connection", "RawReply"]
+__all__ = ["BODILESS_STATUSES", "ExchangeFailure", "Http1Connection", "RawReply"]
 
 # Idle connections are discarded this long before the server would close them.
 KEEP_ALIVE_MARGIN_S = 0.4
--- a/bergamotgate/platform/ingress.py
+++ b/bergamotgate/platform/ingress.py
@@ -13,6 +13,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 
+from bergamotgate.backend.http1 import BODILESS_STATUSES
 from bergamotgate.clock import Clock
 from bergamotgate.errors import AddressInUse
 from bergamotgate.gateway.directory import ADDRESSES_TTL_S
@@ -292,7 +293,8 @@
 ) -> None:
     """Write an answer; close the connection after it if it is the last one."""
     connection = request.connection
-    headers["Content-Length"] = str(len(body))
+    if status not in BODILESS_STATUSES:  # the length is forbidden with 204, unknown with 304
+        headers["Content-Length"] = str(len(body))
     if last:
         headers["Connection"] = "close"
     start = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
--- a/bergamotgate/wire/statusline.py
+++ b/bergamotgate/wire/statusline.py
@@ -10,9 +10,7 @@
 
 # RFC 9112, section 4, and statuses as in RFC 9110, section 15; 101 answers only a request to switch
 # protocols, which is never sent. Some servers leave out the space before an empty reason phrase.
-_STATUS_LINE = re.compile(
-    rb"HTTP/1\.[01] (?!101)[1-5][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?\r?\n"
-)
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] (?!101)[1-5][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?\r?\n")
 
 
 def starts_with_status_line(head: bytes | bytearray) -> bool:
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -8,7 +8,7 @@
 from bergamotgate.clock import LoopClock
 from bergamotgate.outcomes import Unknown, UnknownReason
 from bergamotgate.platform.ingress import Ingress
-from bergamotgate.relay.messages import FailedAnswer, MergedAnswer
+from bergamotgate.relay.messages import FailedAnswer, ForwardedAnswer, MergedAnswer, ServerReply
 from bergamotgate.standin.replica import Fault
 from tests.support import check, make_load_tests, real_time
 from tests.test_relay import RelayFixture, make_shards
@@ -289,4 +289,20 @@
         await relay.close()
 
 
+@real_time
+async def test_answer_that_has_no_body_by_its_status_states_no_length():
+    for status in (204, 304):
+        reply = ServerReply(status, (("x-attempt-id", "a1"),), b"", "i-0.a1", False, False)
+        ingress = make_ingress(FakeHandler(ForwardedAnswer(reply)))
+        reader, writer = await connect(ingress.settings.front)
+        for _ in range(2):  # on one connection
+            writer.write(REQUEST)
+            answer = await reader.readuntil(b"\r\n\r\n")
+            check.assertTrue(answer.startswith(f"HTTP/1.1 {status} ".encode()), answer)
+            check.assertNotIn(b"content-length", answer.lower())
+            check.assertNotIn(b"transfer-encoding", answer.lower())
+        writer.close()
+        await ingress.drain(await deadline_in(0))
+
+
 load_tests = make_load_tests(globals())
