Read numbers in headers without failing on odd or long digits

What callers saw: a server's complete reply whose Keep-Alive stated "timeout=" and a superscript two was lost, as a fatal error of the connection: it counted as a request that crashed the server. On the way in, a client's X-Deadline-Ms of that kind, or of more than 4,300 digits, got no answer at all (on a gateway) or a 500 that says nothing of the outcome (on a daemon). Found by generated replies: the readers of replies had none for bytes of servers.

Cause: str.isdigit takes digits that int and float do not, and int refuses texts of more than 4,300 digits.

Change: one function reads such numbers; it takes ASCII digits only and cuts off what is longer than any time. An unreadable timeout leaves the default, an unreadable deadline is no deadline, or a refusal, as for other text.

--- a/bergamotgate/backend/http1.py
+++ b/bergamotgate/backend/http1.py
@@ -16,6 +16,7 @@
 
 from bergamotgate.backend.replymemory import ReplyLimits, ReplyMemory
 from bergamotgate.errors import MalformedHead, UnknownTransferCoding
+from bergamotgate.wholenumber import read_whole_number
 from bergamotgate.wire.statusline import starts_with_status_line
 
 __all__ = ["BODILESS_STATUSES", "ExchangeFailure", "Http1Connection", "RawReply"]
@@ -290,7 +291,7 @@
     if value is None:
         return DEFAULT_KEEP_ALIVE_S
     for part in value.split(","):
-        name, _, seconds = part.strip().partition("=")
-        if name.lower() == "timeout" and seconds.strip().isdigit():
+        name, _, text = part.strip().partition("=")
+        if name.lower() == "timeout" and (seconds := read_whole_number(text)) is not None:
             return float(seconds)
     return DEFAULT_KEEP_ALIVE_S
--- a/bergamotgate/front/handler.py
+++ b/bergamotgate/front/handler.py
@@ -20,6 +20,7 @@
 from bergamotgate.membership.prober import Prober
 from bergamotgate.metrics import Metrics
 from bergamotgate.outcomes import NotRun, NotRunReason, Refusal, Unknown, UnknownReason
+from bergamotgate.wholenumber import read_whole_number
 from bergamotgate.wire.codec import WIRE_VERSION
 from bergamotgate.wire.generated.ttypes import Frame, KeeperCall, KeeperReply
 from bergamotgate.wire.links import Links, PeerProcess
@@ -196,10 +197,8 @@
         max_ms = route.urgency.deadline_ms
         if request.deadline_ms is None:
             return max_ms / 1000
-        if not request.deadline_ms.isascii() or not request.deadline_ms.isdigit():
-            return None
-        requested_ms = int(request.deadline_ms)
-        return min(requested_ms, max_ms) / 1000 if requested_ms > 0 else None
+        requested_ms = read_whole_number(request.deadline_ms)
+        return min(requested_ms, max_ms) / 1000 if requested_ms else None
 
     def _make_query(
         self, route: Route, body: bytes, arrived_at: float, deadline: float, key: str
--- a/bergamotgate/platform/ingress.py
+++ b/bergamotgate/platform/ingress.py
@@ -27,6 +27,7 @@
     ForwardedAnswer,
     MergedAnswer,
 )
+from bergamotgate.wholenumber import read_whole_number
 from bergamotgate.wire.network import split_address
 from bergamotgate.wire.roundtrip import round_trip_s
 
@@ -255,10 +256,10 @@
 
 def _client_timeout_s(text: str | None) -> float | None:
     """Seconds that a client waits; None when the value is missing or invalid."""
-    if text is None or not text.strip().isdigit():
+    milliseconds = read_whole_number(text) if text is not None else None
+    if milliseconds is None or not 0 < milliseconds <= MAX_DEADLINE_MS:
         return None
-    milliseconds = int(text)
-    return milliseconds / 1000 if 0 < milliseconds <= MAX_DEADLINE_MS else None
+    return milliseconds / 1000
 
 
 def _render(answer: Answer) -> tuple[int, HTTPHeaders, bytes]:
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -5,11 +5,13 @@
 import json
 import math
 import random
+import re
 
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from bergamotgate.backend.http1 import RawReply
+from bergamotgate.backend.http1 import ExchangeFailure, Http1Connection, RawReply
+from bergamotgate.backend.replymemory import ReplyLimits, ReplyMemory
 from bergamotgate.clock import LoopClock
 from bergamotgate.config.catalogue import Catalogue
 from bergamotgate.discovery import DiscoveredServer
@@ -28,11 +30,18 @@
 from bergamotgate.wire.generated.ttypes import Datagram, PublishedNews
 from bergamotgate.wire.generated.ttypes import PublishedItem as WireItem
 from tests.gateways import GatewayFleet, make_config, make_server
-from tests.support import check, make_load_tests, serve_bytes
+from tests.support import (
+    BROKEN_FIELD_LINES,
+    BROKEN_STATUS_LINES,
+    check,
+    make_load_tests,
+    serve_bytes,
+)
 from tests.test_platform_adapter import SETTINGS
 
 # The same cases in each run, so that a run says the same as the one before.
 EXAMPLES = settings(derandomize=True, max_examples=150, deadline=None, database=None)
+MANY_EXAMPLES = settings(EXAMPLES, max_examples=1000)
 FEW_EXAMPLES = settings(derandomize=True, max_examples=25, deadline=None, database=None)
 
 NUMBERS = st.one_of(
@@ -168,6 +177,94 @@
     asyncio.run(play())
 
 
+class SilentTransport:
+    """Takes the bytes of a connection and sends none."""
+
+    def write(self, data: bytes) -> None:
+        pass
+
+    def abort(self) -> None:
+        pass
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+
+def receive(pieces: list[bytes]) -> RawReply | ExchangeFailure:
+    """Returns the result of a request whose connection brings these bytes and then closes."""
+    loop = asyncio.new_event_loop()
+    connection = Http1Connection(loop, ReplyMemory(ReplyLimits()), "10.1.1.1:80")
+    connection.connection_made(SilentTransport())
+    results = []
+    connection.exchange(b"", results.append)
+    for piece in pieces:
+        connection.data_received(piece)
+    connection.eof_received()
+    connection.connection_lost(None)
+    loop.close()
+    check.assertEqual(1, len(results), results)
+    return results[0]
+
+
+TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9a-z-]+")
+FIELD_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
+SOUND_REPLY = (
+    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nbody"
+)
+REPLY_PARTS = st.lists(
+    st.one_of(
+        st.sampled_from(
+            [
+                *(line + b"\r\n" for line in (*BROKEN_STATUS_LINES, *BROKEN_FIELD_LINES)),
+                b"HTTP/1.1 200 OK\r\n",
+                b"HTTP/1.0 503 No\r\n",
+                b"HTTP/1.1 204 No Content\r\n",
+                b"HTTP/1.1 103 Early Hints\r\n\r\n",
+                b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+                b"Content-Length: 4\r\n",
+                b"Transfer-Encoding: chunked\r\n",
+                b"Connection: close\r\n",
+                b"Connection: upgrade\r\nUpgrade: x\r\n",
+                b"Keep-Alive: timeout=\xb2\r\n",
+                b"\xb2",
+                b"X-Attempt-Id: a\r\n",
+                b"\r\n",
+                b"body",
+                b"4\r\nbody\r\n0\r\n\r\n",
+            ]
+        ),
+        st.binary(max_size=8),
+    ),
+    max_size=8,
+).map(b"".join)
+
+
+@MANY_EXAMPLES
+@given(
+    data=st.one_of(
+        REPLY_PARTS,
+        REPLY_PARTS.map(lambda parts: b"HTTP/1.1 200 OK\r\n" + parts),
+        st.builds(
+            lambda at, parts, size: SOUND_REPLY[:at] + parts + SOUND_REPLY[at + size :],
+            st.integers(0, len(SOUND_REPLY)),
+            REPLY_PARTS,
+            st.integers(0, 4),
+        ),
+    ),
+    at=st.integers(0, len(SOUND_REPLY)),
+)
+@example(data=SOUND_REPLY.replace(b"=5", b"=\xb2"), at=0)
+@example(data=SOUND_REPLY.replace(b"=5", b"=" + b"9" * 400), at=0)
+def test_any_bytes_of_a_server_are_a_valid_reply_or_a_failure(data, at):
+    result = receive([data])
+    check.assertEqual(result, receive([data[:at], data[at:]]))
+    check.assertEqual(result, receive([data[n : n + 1] for n in range(len(data))]))
+    if isinstance(result, RawReply):
+        check.assertTrue(200 <= result.status <= 599, result)
+        check.assertTrue(all(TOKEN.fullmatch(name) for name, _ in result.headers), result)
+        check.assertTrue(all(FIELD_VALUE.fullmatch(value) for _, value in result.headers), result)
+
+
 HEADERS = st.sampled_from(
     ["x-attempt-id", "x-server-stamp", "server-limit", "server-leaving", "retry-after"]
 )
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -243,9 +243,12 @@
 async def test_invalid_deadline_is_treated_as_none():
     handler = FakeHandler()
     ingress = make_ingress(handler)
-    for text in (b"-5", b"soon", b"99999999999999", b"0", b"1e3"):
+    texts = (b"-5", b"soon", b"99999999999999", b"0", b"1e3", b"\xb2", b"9" * 5000)
+    for text in texts:
         await send_raw(ingress.settings.front, REQUEST.replace(b"900", text))
-    check.assertEqual([None] * 5, [request.client_timeout_s for request in handler.requests])
+    check.assertEqual(
+        [None] * len(texts), [request.client_timeout_s for request in handler.requests]
+    )
     await ingress.drain(await deadline_in(0))
 
 
