Check the revisions of published tables and VM lists

What callers saw: nothing; found while the readers of answers were checked. A configuration service or VM list that answered with a revision of 1e400 ended the task that follows it with OverflowError; one beyond 64 bits, below zero or of another type was taken, though messages to peers cannot carry it.

Cause: the store's revisions are checked where they are decoded, these were only converted.

Change: all three use one check.

Evidence: test_revision_out_of_range_is_not_used, which tried three revisions on the store, tries nine on all three services; it failed before (-1 of the configuration service) and passes now.

--- a/bergamotgate/config/http.py
+++ b/bergamotgate/config/http.py
@@ -9,6 +9,7 @@
 from bergamotgate.config.service import PublishedTables, PublishedVmList
 from bergamotgate.errors import PlatformUnavailable
 from bergamotgate.jsontext import read_json
+from bergamotgate.revision import checked_revision
 from bergamotgate.wire.curlhead import HeadWatch
 
 __all__ = ["HttpConfigurationService", "HttpVmListService"]
@@ -69,7 +70,9 @@
 
     def _parse_tables(self, body: Any) -> PublishedTables:
         try:
-            return PublishedTables(int(body["revision"]), str(body["routes"]), str(body["pools"]))
+            return PublishedTables(
+                checked_revision(body["revision"]), str(body["routes"]), str(body["pools"])
+            )
         except (KeyError, TypeError, ValueError) as error:
             raise PlatformUnavailable("configuration service", error) from error
 
@@ -91,6 +94,8 @@
 
     def _parse_vm_list(self, body: Any) -> PublishedVmList:
         try:
-            return PublishedVmList(int(body["revision"]), json.dumps({"vms": body["vms"]}))
+            return PublishedVmList(
+                checked_revision(body["revision"]), json.dumps({"vms": body["vms"]})
+            )
         except (KeyError, TypeError, ValueError, RecursionError) as error:
             raise PlatformUnavailable("VM list", error) from error
--- a/bergamotgate/platform/store.py
+++ b/bergamotgate/platform/store.py
@@ -16,6 +16,7 @@
 from bergamotgate.jsontext import read_json
 from bergamotgate.publication.items import PublishedItem
 from bergamotgate.publication.source import HistoryLost, ItemChanges
+from bergamotgate.revision import checked_revision
 
 __all__ = ["PlatformStore"]
 
@@ -28,8 +29,6 @@
 # Longest answer that is read; a page holds about 1 MB, changes since an old revision more.
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
 GONE = 410
-# Revisions are 64-bit numbers in messages to peers.
-MAX_REVISION = 2**63 - 1
 
 
 class _AddressResolver(DefaultLoopResolver):
@@ -123,22 +122,11 @@
 
 def _revision(response: dict[str, Any]) -> int:
     try:
-        return _checked_revision(response.get("asOf"))
+        return checked_revision(response.get("asOf"))
     except ValueError as error:
         raise PlatformUnavailable(SERVICE, error) from error
 
 
-def _checked_revision(value: object) -> int:
-    """Return a revision that peers can be told.
-
-    Raises:
-        ValueError: The value is not a whole number of 64 bits.
-    """
-    if type(value) is not int or not 0 <= value <= MAX_REVISION:
-        raise ValueError(f"{value!r:.40} is not a revision")
-    return value
-
-
 def _items(response: dict[str, Any], name: str) -> list[PublishedItem]:
     entries = response.get(name)
     if not isinstance(entries, list):
@@ -161,7 +149,7 @@
 
 
 def _item(entry: dict[str, Any]) -> PublishedItem:
-    revision = _checked_revision(entry["revision"])
+    revision = checked_revision(entry["revision"])
     if entry.get("deleted"):
         return PublishedItem(str(entry["key"]), revision, None)
     value = base64.b64decode(entry["value"], validate=True)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -65,6 +65,15 @@
 """
 
 
+async def is_used(watch) -> bool:
+    """Returns whether an answer was taken for published state."""
+    try:
+        await watch(1, 0.1)
+    except PlatformUnavailable:
+        return False
+    return True
+
+
 def decode(key: str, value: bytes | None):
     return PlatformItemDecoder().decode(PublishedItem(key, 5, value))
 
@@ -250,13 +259,15 @@
 
 
 @real_time
-async def test_revision_out_of_range_is_a_failure_of_the_store():
-    for revision in (-1, 2**63, int("9" * 400)):
-        body = json.dumps({"events": [], "asOf": revision}).encode()
+async def test_revision_out_of_range_is_not_used():
+    for revision in ("-1", str(2**63), "9" * 400, "1e400", "NaN", "9.0", "true", "null", '"9"'):
+        fields = '"events": [], "asOf": %s, "revision": %s, "routes": "", "pools": "", "vms": []'
+        body = f"{{{fields % (revision, revision)}}}".encode()
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
         async with serve_bytes(head + body) as address:
-            with check.assertRaises(PlatformUnavailable, msg=revision):
-                await PlatformStore(address).changes(1, 0.1)
+            check.assertFalse(await is_used(PlatformStore(address).changes), revision)
+            for service in (HttpConfigurationService, HttpVmListService):
+                check.assertFalse(await is_used(service(f"http://{address}/").watch), revision)
 
 
 @real_time
@@ -316,15 +327,6 @@
 LENIENT_FOR_STORE = (b"HTTP/1.2 200 OK", b"\r\nHTTP/1.1 200 OK")
 
 
-async def is_used(watch) -> bool:
-    """Returns whether an answer was taken for published state."""
-    try:
-        await watch(1, 0.1)
-    except PlatformUnavailable:
-        return False
-    return True
-
-
 @real_time
 async def test_published_state_with_a_broken_head_is_not_used():
     state = {"asOf": 9, "events": [], "revision": 9, "routes": "", "pools": "", "vms": []}
