Bound the request rate that a server may state

What callers saw: nothing yet; found while the readers of replies were checked.

Cause: a rate was any finite number, and what is computed from it was not finite.

Change: a rate above a million a second counts as that, which no server reaches.

--- a/bergamotgate/placement/rates.py
+++ b/bergamotgate/placement/rates.py
@@ -28,6 +28,8 @@
 # Requests per second to a server that states less, even 0: only its replies show that the limit has
 # ended.
 MIN_RATE_PER_S = 0.2
+# Requests per second that no server reaches; what is computed from a greater rate could overflow.
+MAX_RATE_PER_S = 1e6
 # A slot may be used until the next one starts, within these bounds. The platform counts requests in
 # windows of a few seconds.
 MIN_SLOT_VALID_S = 1.0
@@ -165,9 +167,9 @@
                 for callback in self._on_limit_end:
                     callback(server.server)
         elif stated is None:
-            self._start(server, rate_per_s, now)
+            self._start(server, min(rate_per_s, MAX_RATE_PER_S), now)
         else:
-            stated.rate_per_s = rate_per_s
+            stated.rate_per_s = min(rate_per_s, MAX_RATE_PER_S)
             stated.stated_at = now
             self._report(server, stated, now)
 
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -154,6 +154,21 @@
     return Member(f"vm-{number}", zone, f"10.0.0.{number}:1", "10.0.0.9:2", 1, 0, state, capacity)
 
 
+def test_any_number_is_heeded_as_a_rate():
+    fleet = [make_member(n, "a", 107) for n in range(3)]
+    for rate_per_s, served in ((0.0, False), (5e-324, False), (1e9, True), (1.7e308, True)):
+        clock = FakeClock()
+        shares = make_shares(fleet[0], fleet)
+        limiter = RateLimiter(shares, clock, random.Random(1), Metrics())
+        server = make_server("limited")
+        taken = []
+        for _ in range(10):
+            limiter.note_reply(server, rate_per_s, clock.now())
+            clock.time += 0.5
+            taken.append(limiter.take(server))
+        check.assertEqual(served, all(taken), rate_per_s)
+
+
 def test_parts_of_all_vms_add_up_to_the_stated_rate_at_most():
     rng = random.Random(6)
     for sharded in (True, False):
