--- a/review/harness-2/rig.py
+++ b/review/harness-2/rig.py
@@ -25,6 +25,8 @@
 ZONES = ("perth-a", "bunbury-b", "albany-c")
 RESTART_DELAY_S = 0.3
 STARTUP_LIMIT_S = 20.0
+# Below the ports that the kernel gives to outgoing connections.
+PORTS = (12000, 25000)
 
 EXIT_HELD = 0
 EXIT_BROKEN = 1
@@ -128,25 +130,29 @@
         print(text, flush=True)
 
 
-def free_ports(ip: str, count: int) -> list[int]:
-    """Return ports that are free for TCP and UDP at an address."""
-    held: list[socket.socket] = []
+def free_ports(ips: list[str], count: int) -> list[int]:
+    """Return ports that are free for TCP and UDP at all addresses."""
     ports: list[int] = []
     while len(ports) < count:
-        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        tcp.bind((ip, 0))
-        held.append(tcp)
-        port = tcp.getsockname()[1]
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        held.append(udp)
-        with contextlib.suppress(OSError):
-            udp.bind((ip, port))
+        port = random.SystemRandom().randrange(*PORTS)
+        if port not in ports and all(_is_free(ip, port) for ip in ips):
             ports.append(port)
-    for sock in held:
-        sock.close()
     return ports
 
 
+def _is_free(ip: str, port: int) -> bool:
+    with (
+        socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+    ):
+        try:
+            tcp.bind((ip, port))
+            udp.bind((ip, port))
+        except OSError:
+            return False
+    return True
+
+
 class Daemon:
     """One gateway process, started by the command of the deploy file.
 
@@ -156,10 +162,19 @@
         ended_by_itself: Times at which it ended without a signal that ends a process.
     """
 
-    def __init__(self, number: int, folder: Path, ports: list[int], seeds: list[str], store: str):
+    def __init__(
+        self,
+        number: int,
+        zone: str,
+        number_in_zone: int,
+        folder: Path,
+        ports: list[int],
+        seeds: list[str],
+        store: str,
+    ):
         self.ip = f"127.0.0.{number + 1}"
-        self.zone = ZONES[number % len(ZONES)]
-        self.vm = f"frontend-{self.zone}-{number}"
+        self.zone = zone
+        self.vm = f"frontend-{self.zone}-{number_in_zone}"
         self.front = f"{self.ip}:{ports[0]}"
         self.ready = f"{self.ip}:{ports[1]}"
         self.control = f"{self.ip}:{ports[2]}"
@@ -440,17 +455,22 @@
     routes: list[dict] = field(default_factory=list)
     version: int = 1
 
-    async def start(self, vms: int, folder: Path, settle_s: float = 2.0) -> None:
+    async def start(
+        self, vms: int, folder: Path, settle_s: float = 2.0, zones: tuple[str, ...] = ZONES
+    ) -> None:
         """Start everything and wait until all machines are ready."""
         self.store.start()
         for server in self.servers:
             await server.start()
             self.report(server)
         self.publish_config()
-        ports = free_ports("127.0.0.1", 6)
+        ports = free_ports([f"127.0.0.{number + 1}" for number in range(vms)], 6)
         seeds = [f"127.0.0.{n + 1}:{ports[2]}" for n in range(min(3, vms))]
         for number in range(vms):
-            self.daemons.append(Daemon(number, folder, ports, seeds, self.store.address))
+            zone = zones[number % len(zones)]
+            in_zone = 1 + sum(1 for daemon in self.daemons if daemon.zone == zone)
+            daemon = Daemon(number, zone, in_zone, folder, ports, seeds, self.store.address)
+            self.daemons.append(daemon)
         for daemon in self.daemons:
             await daemon.start(bootstrap=True)
         for daemon in self.daemons:
