--- a/review/harness-2/rig.py
+++ b/review/harness-2/rig.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import json
 import os
 import random
@@ -563,6 +562,8 @@
 async def _run(case: Case, folder: Path, trouble: bool) -> int:
     record = Record(folder)
     rig = Rig(record)
+    # Ended from outside, the script still ends what it has started.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     with tempfile.TemporaryDirectory(prefix="review-") as scratch:
         try:
             async with asyncio.timeout(110):
