--- a/review/harness-2/rig.py
+++ b/review/harness-2/rig.py
@@ -261,8 +261,9 @@
         """
         until = now_s() + STARTUP_LIMIT_S
         while not await self.is_ready():
-            if now_s() > until:
-                raise NotRunError(f"{self.vm} is not ready")
+            if now_s() > until or not self.running:
+                status = self.process.returncode
+                raise NotRunError(f"{self.vm}: {status}: {self.log_text()[-2000:]}")
             await asyncio.sleep(0.1)
 
     def log_text(self) -> str:
